--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod server;
 pub mod settings;
 pub mod status;
+pub mod steering;
 pub mod store;
 pub mod store_http;
 pub mod transfer;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -7,7 +7,10 @@
 
 /// Starts logging at level `info`, unless the variable `FLAMINGOFALL_LOG` says otherwise.
 pub fn init() {
-    let env = Env::new().filter_or("FLAMINGOFALL_LOG", "flamingofall=info");
+    let env = Env::new().filter_or(
+        "FLAMINGOFALL_LOG",
+        "flamingofall=info,flamingofall_platform=info",
+    );
     Builder::from_env(env)
         .format(|line, record| {
             let age = SystemTime::now()
--- /dev/null
+++ b/src/steering/agent.rs
@@ -0,0 +1,518 @@
+//! The agent's decisions: which packets its server gets, and what becomes of the others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::id::{Incarnation, Sequence, Slots};
+use crate::packet::Flow;
+
+use super::message::{Announce, Forward, Message, Owner};
+use super::roster::{Member, State};
+use super::segment::{Kind, Segment};
+
+/// How often [`Agent::tick`] is meant to be called.
+pub const TICK: Duration = Duration::from_millis(50);
+/// A tick that comes later than this shows that the process stood still.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Time between announcements to each balancer.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(400);
+/// Packets at the server whose return is still possible.
+const PENDING_MAX: usize = 8192;
+/// Flows without packets are forgotten after this time: the longest life of a flow.
+const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
+/// Balancers that send nothing for this long are forgotten.
+const FORGET_BALANCER_AFTER: Duration = Duration::from_secs(60);
+/// Heartbeat periods without a heartbeat after which the server gets no new flows.
+const SILENT_PERIODS: u32 = 3;
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Give a packet to the server, marked with a token that its return carries.
+    Deliver {
+        /// The mark.
+        token: u32,
+        /// The packet.
+        packet: Vec<u8>,
+    },
+    /// Send a server's packet to its client.
+    Client(SocketAddr, Vec<u8>),
+    /// Send a message to a balancer or an agent.
+    Send(SocketAddr, Message),
+    /// Reset the client's end of a flow.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number that the client accepts.
+        sequence: u32,
+    },
+    /// Store the agent's record in the directory.
+    Publish(Member),
+    /// A decision, as a log line.
+    Decision(String),
+}
+
+/// What a server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Identity of the server.
+    pub server: String,
+    /// Start of the server's process in Unix milliseconds; zero if it doesn't say.
+    pub started: u64,
+    /// Its service.
+    pub service: String,
+    /// Ready or draining.
+    pub state: State,
+    /// Requests that it works on at the same time.
+    pub slots: Slots,
+    /// Increases with each heartbeat of one process.
+    pub sequence: u64,
+}
+
+/// Whether a heartbeat was used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// It describes the server now.
+    Accepted,
+    /// It was sent before one that arrived earlier.
+    Outdated,
+}
+
+/// A flow that the server holds.
+#[derive(Debug)]
+struct Held {
+    /// The server accepted the opening packet and the client confirmed it.
+    open: bool,
+    /// The client waits for an answer.
+    busy: bool,
+    /// Highest acknowledgement number from the client.
+    acknowledged: u32,
+    /// The server has no more data to send.
+    finished: bool,
+    /// The balancer that sent the flow's opening packet or its last lookup.
+    origin: Option<SocketAddr>,
+    /// The origin waits to hear who holds the flow.
+    asked: bool,
+    seen: Instant,
+}
+
+impl Held {
+    fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
+        Self {
+            open: false,
+            busy: false,
+            acknowledged: 0,
+            finished: false,
+            origin,
+            asked: false,
+            seen: now,
+        }
+    }
+}
+
+/// A packet that the server may return.
+#[derive(Debug)]
+struct Pending {
+    token: u32,
+    service: String,
+    origin: SocketAddr,
+    lookup: bool,
+    complete: bool,
+    candidates: Vec<SocketAddr>,
+}
+
+/// An agent.
+#[derive(Debug)]
+pub struct Agent {
+    member: Member,
+    /// Start and last heartbeat number of the server's process.
+    server_started: u64,
+    server_sequence: u64,
+    heard: Option<Instant>,
+    heartbeat_every: Duration,
+    flows: HashMap<Flow, Held>,
+    /// Slot `token % PENDING_MAX`.
+    pending: Vec<Option<Pending>>,
+    next_token: u32,
+    balancers: HashMap<SocketAddr, Instant>,
+    announce_due: Instant,
+    expire_due: Instant,
+    ticked: Instant,
+}
+
+impl Agent {
+    /// An agent at `address` beside a server of `service`.
+    pub fn new(
+        address: SocketAddr,
+        service: String,
+        incarnation: Incarnation,
+        heartbeat_every: Duration,
+        now: Instant,
+    ) -> Self {
+        Self {
+            member: Member {
+                agent: address,
+                incarnation,
+                sequence: Sequence(0),
+                service,
+                server: String::new(),
+                state: State::Waiting,
+                slots: Slots(1),
+            },
+            server_started: 0,
+            server_sequence: 0,
+            heard: None,
+            heartbeat_every,
+            flows: HashMap::new(),
+            pending: (0..PENDING_MAX).map(|_| None).collect(),
+            next_token: 1,
+            balancers: HashMap::new(),
+            announce_due: now,
+            expire_due: now,
+            ticked: now,
+        }
+    }
+
+    /// The agent's record.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// Number of flows that the server holds.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Requests that wait for an answer.
+    pub fn busy(&self) -> u32 {
+        self.flows.values().filter(|held| held.busy).count() as u32
+    }
+
+    /// Adds a balancer to announce to.
+    pub fn meet(&mut self, balancer: SocketAddr, now: Instant) {
+        if self.balancers.insert(balancer, now).is_none() {
+            self.announce_due = now;
+        }
+    }
+
+    /// A heartbeat of the server.
+    pub fn heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Outcome {
+        let same =
+            heartbeat.server == self.member.server && heartbeat.started == self.server_started;
+        let late = same && heartbeat.sequence <= self.server_sequence;
+        if heartbeat.started < self.server_started || late {
+            out.push(Output::Decision(format!(
+                "event=heartbeat_ignored server={} started={} sequence={} reason=outdated",
+                heartbeat.server, heartbeat.started, heartbeat.sequence
+            )));
+            return Outcome::Outdated;
+        }
+        if !same && !self.member.server.is_empty() {
+            self.server_ended("replaced", out);
+        }
+        self.server_started = heartbeat.started;
+        self.server_sequence = heartbeat.sequence;
+        self.heard = Some(now);
+        let mut member = self.member.clone();
+        member.server = heartbeat.server;
+        member.service = heartbeat.service;
+        member.slots = heartbeat.slots;
+        member.state = heartbeat.state;
+        self.update(member, "heartbeat", now, out);
+        Outcome::Accepted
+    }
+
+    /// The server says that it ends.
+    pub fn left(&mut self, server: &str, now: Instant, out: &mut Vec<Output>) {
+        if server != self.member.server {
+            out.push(Output::Decision(format!(
+                "event=leave_ignored server={server} reason=not_the_current_server"
+            )));
+            return;
+        }
+        self.server_ended("left", out);
+        self.set_state(State::Gone, "left", now, out);
+    }
+
+    /// This process is about to stop: no new flows.
+    pub fn stop(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.member.state == State::Ready {
+            self.set_state(State::Waiting, "stopping", now, out);
+        }
+        self.announce(now, out);
+    }
+
+    /// A message from a balancer or an agent.
+    pub fn message(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        decode: impl Fn(&[u8]) -> Option<Segment>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Forward(forward) => {
+                if let Some(segment) = decode(&forward.packet) {
+                    self.packet(segment, forward, now, out);
+                }
+            }
+            Message::Balancers(balancers) => {
+                for balancer in balancers {
+                    self.meet(balancer, now);
+                }
+            }
+            Message::Owner(_)
+            | Message::Exhausted(_)
+            | Message::Announce(_)
+            | Message::Digest(_) => {
+                out.push(Output::Decision(format!(
+                    "event=message_ignored from={from} reason=not_for_an_agent"
+                )));
+            }
+        }
+    }
+
+    /// A client's packet.
+    fn packet(&mut self, segment: Segment, forward: Forward, now: Instant, out: &mut Vec<Output>) {
+        if self.member.state == State::Gone {
+            self.pass(segment, forward, "server_gone", out);
+            return;
+        }
+        let flow = segment.flow;
+        let address = self.member.agent;
+        if segment.opens() {
+            let held = self.flows.contains_key(&flow);
+            let wrong = forward.service != self.member.service;
+            if wrong || (!held && self.member.state != State::Ready) {
+                self.pass(segment, forward, "not_accepting", out);
+                return;
+            }
+            self.flows
+                .entry(flow)
+                .or_insert_with(|| Held::new(Some(forward.origin), now));
+        } else {
+            let held = self
+                .flows
+                .entry(flow)
+                .or_insert_with(|| Held::new(Some(forward.origin), now));
+            held.acknowledged = segment.acknowledgement;
+            held.seen = now;
+            held.busy |= segment.length > 0;
+            if forward.lookup {
+                held.origin = Some(forward.origin);
+                held.asked = !held.open;
+                if held.open {
+                    let owner = owner(flow, address, None);
+                    out.push(Output::Send(forward.origin, Message::Owner(owner)));
+                }
+            }
+            if segment.kind == Kind::Reset {
+                self.flows.remove(&flow);
+            }
+        }
+        let token = self.next_token;
+        self.next_token = self.next_token.wrapping_add(1).max(1);
+        self.pending[token as usize % PENDING_MAX] = Some(Pending {
+            token,
+            service: forward.service,
+            origin: forward.origin,
+            lookup: forward.lookup,
+            complete: forward.complete,
+            candidates: forward.candidates,
+        });
+        out.push(Output::Deliver {
+            token,
+            packet: forward.packet,
+        });
+    }
+
+    /// Gives a packet that the server doesn't take to the next candidate.
+    fn pass(
+        &mut self,
+        segment: Segment,
+        mut forward: Forward,
+        reason: &str,
+        out: &mut Vec<Output>,
+    ) {
+        if forward.candidates.is_empty() {
+            out.push(Output::Decision(format!(
+                "decision=exhausted flow={} kind={} reason={reason}",
+                segment.flow, segment.kind
+            )));
+            out.push(Output::Send(forward.origin, Message::Exhausted(forward)));
+            return;
+        }
+        let next = forward.candidates.remove(0);
+        if segment.opens() {
+            out.push(Output::Decision(format!(
+                "decision=passed flow={} to={next} reason={reason}",
+                segment.flow
+            )));
+        }
+        out.push(Output::Send(next, Message::Forward(forward)));
+    }
+
+    /// A packet that the server returned because it doesn't take it.
+    pub fn returned(
+        &mut self,
+        segment: Segment,
+        token: u32,
+        packet: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) {
+        let slot = &mut self.pending[token as usize % PENDING_MAX];
+        let Some(pending) = slot.take_if(|pending| pending.token == token) else {
+            out.push(Output::Decision(format!(
+                "decision=dropped flow={} reason=returned_too_late token={token}",
+                segment.flow
+            )));
+            return;
+        };
+        let held = self.flows.remove(&segment.flow);
+        if held.is_some_and(|held| held.open) && !segment.opens() {
+            // The server held the flow and no longer does: nobody else can.
+            self.reset(segment.flow, segment.acknowledgement, "server_lost_it", out);
+            return;
+        }
+        let forward = Forward {
+            service: pending.service,
+            origin: pending.origin,
+            lookup: pending.lookup,
+            candidates: pending.candidates,
+            complete: pending.complete,
+            packet,
+        };
+        self.pass(segment, forward, "returned", out);
+    }
+
+    /// A packet of the server to a client.
+    pub fn outbound(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let address = self.member.agent;
+        let held = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Held::new(None, now));
+        held.seen = now;
+        let accepted = (segment.kind == Kind::Accept).then_some(segment.sequence);
+        if segment.kind != Kind::Accept {
+            held.open = true;
+            held.busy &= segment.length == 0;
+        }
+        held.finished |= segment.kind == Kind::Finish;
+        if accepted.is_some() || held.asked {
+            held.asked = false;
+            if let Some(origin) = held.origin {
+                let owner = owner(flow, address, accepted);
+                out.push(Output::Send(origin, Message::Owner(owner)));
+            }
+        }
+        if segment.kind == Kind::Reset {
+            self.flows.remove(&flow);
+        }
+        out.push(Output::Client(flow.source, packet));
+    }
+
+    /// Runs everything that is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let pause = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        if pause > PAUSE {
+            out.push(Output::Decision(format!(
+                "event=resumed pause_ms={}",
+                pause.as_millis()
+            )));
+            self.heard = self.heard.map(|heard| heard + pause);
+        }
+        let silent = self.heard.is_some_and(|heard| {
+            now.saturating_duration_since(heard) > self.heartbeat_every * SILENT_PERIODS
+        });
+        if silent && self.member.state == State::Ready {
+            self.set_state(State::Waiting, "heartbeats_missing", now, out);
+        }
+        if now >= self.announce_due {
+            self.announce(now, out);
+        }
+        if now >= self.expire_due {
+            self.expire_due = now + Duration::from_secs(1);
+            self.flows
+                .retain(|_, held| now.saturating_duration_since(held.seen) < FORGET_FLOW_AFTER);
+            self.balancers
+                .retain(|_, heard| now.saturating_duration_since(*heard) < FORGET_BALANCER_AFTER);
+        }
+    }
+
+    fn announce(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.announce_due = now + ANNOUNCE_EVERY;
+        let announce = Announce {
+            member: self.member.clone(),
+            busy: self.busy(),
+            balancers: self.balancers.len() as u32,
+        };
+        for balancer in self.balancers.keys() {
+            out.push(Output::Send(*balancer, Message::Announce(announce.clone())));
+        }
+    }
+
+    fn set_state(&mut self, state: State, cause: &str, now: Instant, out: &mut Vec<Output>) {
+        let mut member = self.member.clone();
+        member.state = state;
+        self.update(member, cause, now, out);
+    }
+
+    fn update(&mut self, mut member: Member, cause: &str, now: Instant, out: &mut Vec<Output>) {
+        if member == self.member {
+            return;
+        }
+        member.sequence = Sequence(self.member.sequence.0 + 1);
+        out.push(Output::Decision(format!(
+            "event=server_state server={} service={} from={} to={} cause={cause}",
+            member.server, member.service, self.member.state, member.state
+        )));
+        self.member = member;
+        out.push(Output::Publish(self.member.clone()));
+        self.announce(now, out);
+    }
+
+    /// Resets the flows of a server that has ended.
+    fn server_ended(&mut self, cause: &str, out: &mut Vec<Output>) {
+        let flows: Vec<_> = self
+            .flows
+            .drain()
+            .filter(|(_, held)| held.open && !held.finished)
+            .collect();
+        for (flow, held) in flows {
+            self.reset(flow, held.acknowledged, cause, out);
+        }
+    }
+
+    fn reset(&self, flow: Flow, sequence: u32, reason: &str, out: &mut Vec<Output>) {
+        out.push(Output::Decision(format!(
+            "decision=reset flow={flow} reason={reason}"
+        )));
+        out.push(Output::Reset { flow, sequence });
+    }
+}
+
+fn owner(flow: Flow, agent: SocketAddr, accepted: Option<u32>) -> Owner {
+    Owner {
+        client: flow.source,
+        address: flow.destination,
+        agent,
+        accepted,
+    }
+}
--- /dev/null
+++ b/src/steering/balancer.rs
@@ -0,0 +1,596 @@
+//! The balancer's decisions: which agent gets a client's packet.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::id::Generation;
+use crate::packet::{Flow, Protocol};
+
+use super::message::{Announce, Digest, Forward, Message, Owner};
+use super::roster::{Member, Roster, State};
+use super::routes::{Routes, Table};
+use super::segment::Segment;
+
+/// How often [`Balancer::tick`] is meant to be called.
+pub const TICK: Duration = Duration::from_millis(20);
+/// A tick that comes later than this shows that the process stood still.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Time for an agent to report an accepted flow before another one is asked: several round trips
+/// between failure domains.
+const HEDGE_AFTER: Duration = Duration::from_millis(60);
+/// Agents asked for one opening packet before the client sends its next copy.
+const HEDGES_MAX: u8 = 2;
+/// Flows without packets are forgotten after this time; their next packet is a lookup.
+const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
+/// Most candidates named in one packet, which keeps a datagram below 2 KB.
+const CANDIDATES_MAX: usize = 64;
+/// Time between digests to peers.
+const DIGEST_EVERY: Duration = Duration::from_millis(500);
+/// Peers that receive each digest.
+const DIGEST_FANOUT: usize = 3;
+/// Peers not heard for this long are forgotten.
+const FORGET_PEER_AFTER: Duration = Duration::from_secs(60);
+/// Time after the start before missing agents count as evidence that a flow's server is gone: two
+/// announcements and the list from the directory.
+const LEARN_TIME: Duration = Duration::from_millis(2500);
+/// Copies of an opening packet that clients send; after the last one a refusal is final.
+const LAST_COPY: u32 = 2;
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message to an agent or a balancer.
+    Send(SocketAddr, Message),
+    /// Reset the client's end of a flow.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number that the client accepts.
+        sequence: u32,
+    },
+    /// Fetch a newer configuration from a peer.
+    Fetch(SocketAddr),
+    /// A decision, as a log line.
+    Decision(String),
+}
+
+/// A flow that this balancer has forwarded.
+#[derive(Debug)]
+struct Known {
+    /// The agent that gets the flow's packets.
+    agent: SocketAddr,
+    /// Whether the agent said that its server accepted the flow.
+    confirmed: bool,
+    /// Acceptances by sequence number, while several servers may have accepted the flow.
+    accepted: Vec<(u32, SocketAddr)>,
+    /// Agents that got the opening packet.
+    asked: Vec<SocketAddr>,
+    /// Lookups sent since the owner was last known.
+    lookups: u32,
+    seen: Instant,
+}
+
+/// An opening packet whose acceptance is awaited.
+#[derive(Debug)]
+struct Opening {
+    flow: Flow,
+    packet: Vec<u8>,
+    service: String,
+    hedges: u8,
+    due: Instant,
+}
+
+/// A balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    /// Where agents and peers reach this balancer.
+    address: SocketAddr,
+    routes: Table,
+    roster: Roster,
+    flows: HashMap<Flow, Known>,
+    /// Ordered by `due`, because all of them wait for the same time.
+    opening: VecDeque<Opening>,
+    peers: HashMap<SocketAddr, Instant>,
+    started: Instant,
+    ticked: Instant,
+    digest_due: Instant,
+    expire_due: Instant,
+    /// Whether the directory's list of agents was read.
+    listed: bool,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet.
+    pub fn new(address: SocketAddr, now: Instant) -> Self {
+        Self {
+            address,
+            routes: Table::default(),
+            roster: Roster::default(),
+            flows: HashMap::new(),
+            opening: VecDeque::new(),
+            peers: HashMap::new(),
+            started: now,
+            ticked: now,
+            digest_due: now,
+            expire_due: now,
+            listed: false,
+        }
+    }
+
+    /// Whether the balancer can serve: it has a configuration and knows agents.
+    pub fn ready(&self) -> bool {
+        self.routes.generation() > Generation(0) && (self.listed || !self.roster.is_empty())
+    }
+
+    /// Generation of the configuration in force.
+    pub fn generation(&self) -> Generation {
+        self.routes.generation()
+    }
+
+    /// Number of flows remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Number of agents known.
+    pub fn agents(&self) -> usize {
+        self.roster.len()
+    }
+
+    /// Adopts a configuration if it is newer.
+    pub fn configure(&mut self, routes: Routes, source: &str, out: &mut Vec<Output>) {
+        let (generation, version, count) = (routes.generation, routes.version, routes.routes.len());
+        if self.routes.adopt(routes) {
+            out.push(Output::Decision(format!(
+                "event=configuration_adopted generation={generation} version={version} \
+                 routes={count} source={source}"
+            )));
+            self.digest_due = self.ticked;
+        }
+    }
+
+    /// Merges records and balancers that the directory lists.
+    pub fn directory(
+        &mut self,
+        members: Vec<Member>,
+        balancers: Vec<SocketAddr>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        self.listed = true;
+        for member in members {
+            self.merge(member, false, now, out);
+        }
+        for peer in balancers {
+            self.meet(peer, now);
+        }
+        self.greet_agents(now, out);
+        self.digest_due = now;
+    }
+
+    /// Adds a balancer that may be alive, such as one named in the settings.
+    pub fn meet(&mut self, peer: SocketAddr, now: Instant) {
+        if peer != self.address {
+            self.peers.entry(peer).or_insert(now);
+        }
+    }
+
+    /// A client's packet.
+    pub fn packet(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let Some(route) = self.routes.get(&flow.destination) else {
+            self.unroutable(segment, out);
+            return;
+        };
+        if segment.opens() {
+            let service = route.service(&flow).to_owned();
+            self.open(segment, packet, service, now, out);
+            return;
+        }
+        if let Some(known) = self.flows.get_mut(&flow) {
+            known.seen = now;
+            if let Some((_, agent)) = known
+                .accepted
+                .iter()
+                .find(|(sequence, _)| sequence.wrapping_add(1) == segment.acknowledgement)
+            {
+                known.agent = *agent;
+                known.accepted.clear();
+            }
+            let (agent, confirmed) = (known.agent, known.confirmed);
+            let gone = self
+                .roster
+                .get(&agent)
+                .is_none_or(|entry| entry.member.state == State::Gone);
+            if confirmed && !gone {
+                self.forward(agent, Vec::new(), String::new(), false, false, packet, out);
+                return;
+            }
+        }
+        self.lookup(segment, packet, now, out);
+    }
+
+    /// A message from an agent or a peer.
+    pub fn message(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        decode: impl Fn(&[u8]) -> Option<Segment>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Owner(owner) => self.owner(owner, now),
+            Message::Announce(announce) => self.announce(announce, now, out),
+            Message::Digest(digest) => self.digest(from, digest, now, out),
+            Message::Exhausted(forward) => {
+                if let Some(segment) = decode(&forward.packet) {
+                    self.exhausted(segment, &forward, now, out);
+                }
+            }
+            Message::Forward(_) | Message::Balancers(_) => {
+                out.push(Output::Decision(format!(
+                    "event=message_ignored from={from} reason=not_for_a_balancer"
+                )));
+            }
+        }
+    }
+
+    /// Runs everything that is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let pause = now.saturating_duration_since(self.ticked);
+        if pause > PAUSE {
+            self.roster.resumed(pause);
+            for heard in self.peers.values_mut() {
+                *heard += pause;
+            }
+            out.push(Output::Decision(format!(
+                "event=resumed pause_ms={}",
+                pause.as_millis()
+            )));
+        }
+        self.ticked = now;
+        self.hedge(now, out);
+        if now >= self.digest_due {
+            self.digest_due = now + DIGEST_EVERY;
+            self.send_digests(now, out);
+        }
+        if now >= self.expire_due {
+            self.expire_due = now + Duration::from_secs(1);
+            self.roster.expire(now);
+            self.flows
+                .retain(|_, known| now.saturating_duration_since(known.seen) < FORGET_FLOW_AFTER);
+            self.peers
+                .retain(|_, heard| now.saturating_duration_since(*heard) < FORGET_PEER_AFTER);
+        }
+    }
+
+    /// A packet to an address without a route. Nothing is answered: a reset could end a flow of a
+    /// configuration that this balancer hasn't seen yet.
+    fn unroutable(&mut self, segment: Segment, out: &mut Vec<Output>) {
+        if segment.opens() {
+            out.push(Output::Decision(format!(
+                "decision=dropped flow={} reason=no_route generation={}",
+                segment.flow,
+                self.routes.generation()
+            )));
+        }
+    }
+
+    fn open(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        service: String,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let openers = self.roster.openers(&service, &flow, now);
+        let known = self.flows.entry(flow).or_insert_with(|| Known {
+            agent: self.address,
+            confirmed: false,
+            accepted: Vec::new(),
+            asked: Vec::new(),
+            lookups: 0,
+            seen: now,
+        });
+        known.seen = now;
+        // A copy goes to an agent that hasn't had the packet: the others may be out of reach.
+        let fresh = |agent: &&SocketAddr| !known.asked.contains(agent);
+        let first = openers.iter().find(fresh).or(openers.first()).copied();
+        let Some(first) = first else {
+            out.push(Output::Decision(format!(
+                "decision=dropped flow={flow} service={service} reason=no_server agents={}",
+                self.roster.len()
+            )));
+            return;
+        };
+        if known.asked.is_empty() {
+            known.agent = first;
+        }
+        if !known.asked.contains(&first) {
+            known.asked.push(first);
+        }
+        let asked = known.asked.clone();
+        let rest: Vec<_> = openers
+            .into_iter()
+            .filter(|agent| !asked.contains(agent))
+            .take(CANDIDATES_MAX)
+            .collect();
+        out.push(Output::Decision(format!(
+            "decision=placed flow={flow} service={service} agent={first} copy={} generation={}",
+            segment.acknowledgement,
+            self.routes.generation()
+        )));
+        self.roster.opened(&first);
+        self.opening.push_back(Opening {
+            flow,
+            packet: packet.clone(),
+            service: service.clone(),
+            hedges: 0,
+            due: now + HEDGE_AFTER,
+        });
+        self.forward(first, rest, service, false, false, packet, out);
+    }
+
+    /// Gives opening packets without an answer to another agent.
+    fn hedge(&mut self, now: Instant, out: &mut Vec<Output>) {
+        while self
+            .opening
+            .front()
+            .is_some_and(|opening| opening.due <= now)
+        {
+            let Some(mut opening) = self.opening.pop_front() else {
+                return;
+            };
+            let Some(known) = self.flows.get_mut(&opening.flow) else {
+                continue;
+            };
+            if known.confirmed || opening.hedges >= HEDGES_MAX {
+                continue;
+            }
+            let openers = self.roster.openers(&opening.service, &opening.flow, now);
+            let asked = known.asked.clone();
+            let mut rest = openers.into_iter().filter(|agent| !asked.contains(agent));
+            let Some(next) = rest.next() else {
+                continue;
+            };
+            known.asked.push(next);
+            out.push(Output::Decision(format!(
+                "decision=placed_again flow={} service={} agent={next} reason=no_acceptance \
+                 waited_ms={}",
+                opening.flow,
+                opening.service,
+                HEDGE_AFTER.as_millis()
+            )));
+            let rest = rest.take(CANDIDATES_MAX).collect();
+            let (service, packet) = (opening.service.clone(), opening.packet.clone());
+            opening.hedges += 1;
+            opening.due = now + HEDGE_AFTER;
+            self.opening.push_back(opening);
+            self.forward(next, rest, service, false, false, packet, out);
+        }
+    }
+
+    /// Sends a packet of a flow whose agent isn't known along the candidates.
+    fn lookup(&mut self, segment: Segment, packet: Vec<u8>, now: Instant, out: &mut Vec<Output>) {
+        let flow = segment.flow;
+        let routes = &self.routes;
+        let likely = |service: &str| routes.allowed(&flow.destination, service);
+        let mut holders = self.roster.holders(likely, &flow, now);
+        let complete = holders.len() <= CANDIDATES_MAX;
+        holders.truncate(CANDIDATES_MAX);
+        if holders.is_empty() {
+            return;
+        }
+        let known = self.flows.entry(flow).or_insert_with(|| Known {
+            agent: holders[0],
+            confirmed: false,
+            accepted: Vec::new(),
+            asked: Vec::new(),
+            lookups: 0,
+            seen: now,
+        });
+        known.seen = now;
+        // Agents that were asked to open the flow come first.
+        let (asked, agent) = (&known.asked, known.agent);
+        holders.sort_by_key(|holder| (*holder != agent, !asked.contains(holder)));
+        // A candidate out of reach would stop every lookup at the same place.
+        let skip = known.lookups as usize / 2 % holders.len();
+        known.lookups += 1;
+        holders.rotate_left(skip);
+        if known.lookups == 1 && asked.is_empty() {
+            out.push(Output::Decision(format!(
+                "decision=lookup flow={flow} first={} candidates={}",
+                holders[0],
+                holders.len()
+            )));
+        }
+        let first = holders.remove(0);
+        self.forward(first, holders, String::new(), true, complete, packet, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn forward(
+        &self,
+        to: SocketAddr,
+        candidates: Vec<SocketAddr>,
+        service: String,
+        lookup: bool,
+        complete: bool,
+        packet: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) {
+        let forward = Forward {
+            service,
+            origin: self.address,
+            lookup,
+            candidates,
+            complete,
+            packet,
+        };
+        out.push(Output::Send(to, Message::Forward(forward)));
+    }
+
+    fn owner(&mut self, owner: Owner, now: Instant) {
+        self.roster.heard(&owner.agent, now);
+        let flow = Flow {
+            protocol: Protocol::Tcp,
+            source: owner.client,
+            destination: owner.address,
+        };
+        let known = self.flows.entry(flow).or_insert_with(|| Known {
+            agent: owner.agent,
+            confirmed: false,
+            accepted: Vec::new(),
+            asked: Vec::new(),
+            lookups: 0,
+            seen: now,
+        });
+        known.lookups = 0;
+        match owner.accepted {
+            None => {
+                known.agent = owner.agent;
+                known.accepted.clear();
+            }
+            Some(sequence) => {
+                if known.accepted.is_empty() {
+                    known.agent = owner.agent;
+                }
+                known.accepted.push((sequence, owner.agent));
+            }
+        }
+        known.confirmed = true;
+    }
+
+    /// No candidate took the packet.
+    fn exhausted(
+        &mut self,
+        segment: Segment,
+        forward: &Forward,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        if segment.opens() {
+            if segment.acknowledgement >= LAST_COPY {
+                self.reset(segment, "no_server_accepts", out);
+            }
+            return;
+        }
+        if !forward.lookup {
+            if let Some(known) = self.flows.get_mut(&flow) {
+                known.confirmed = false;
+            }
+            self.lookup(segment, forward.packet.clone(), now, out);
+            return;
+        }
+        let learned = self.listed && now.saturating_duration_since(self.started) > LEARN_TIME;
+        if forward.complete && learned && self.roster.settled(now) {
+            self.flows.remove(&flow);
+            self.reset(segment, "no_server_holds_it", out);
+        }
+    }
+
+    fn reset(&self, segment: Segment, reason: &str, out: &mut Vec<Output>) {
+        out.push(Output::Decision(format!(
+            "decision=reset flow={} reason={reason} agents={}",
+            segment.flow,
+            self.roster.len()
+        )));
+        out.push(Output::Reset {
+            flow: segment.flow,
+            sequence: segment.acknowledgement,
+        });
+    }
+
+    fn announce(&mut self, announce: Announce, now: Instant, out: &mut Vec<Output>) {
+        let agent = announce.member.agent;
+        self.merge(announce.member, true, now, out);
+        self.roster.load(&agent, announce.busy);
+        if announce.balancers as usize != self.peers.len() + 1 {
+            let balancers = self.balancers();
+            out.push(Output::Send(agent, Message::Balancers(balancers)));
+        }
+    }
+
+    fn merge(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
+        let line = format!(
+            "event=member agent={} service={} server={} state={} incarnation={} sequence={} \
+             direct={direct}",
+            member.agent,
+            member.service,
+            member.server,
+            member.state,
+            member.incarnation,
+            member.sequence
+        );
+        if self.roster.merge(member, direct, now) {
+            out.push(Output::Decision(line));
+        }
+    }
+
+    fn digest(&mut self, from: SocketAddr, digest: Digest, now: Instant, out: &mut Vec<Output>) {
+        self.peers.insert(from, now);
+        let known: HashSet<SocketAddr> = self.peers.keys().copied().collect();
+        for peer in digest.balancers {
+            if !known.contains(&peer) {
+                self.meet(peer, now);
+            }
+        }
+        // An agent that only the peer knows is told of this balancer and then announces itself.
+        for agent in digest.agents {
+            if self.roster.get(&agent).is_none() {
+                let balancers = self.balancers();
+                out.push(Output::Send(agent, Message::Balancers(balancers)));
+            }
+        }
+        if digest.generation > self.routes.generation() {
+            out.push(Output::Fetch(digest.source));
+        }
+    }
+
+    fn send_digests(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let heard = |at: &Instant| now.saturating_duration_since(*at) < Duration::from_secs(3);
+        let agents = self
+            .roster
+            .iter()
+            .filter(|entry| entry.direct && heard(&entry.heard))
+            .map(|entry| entry.member.agent)
+            .collect();
+        let digest = Digest {
+            generation: self.routes.generation(),
+            balancers: self.balancers(),
+            agents,
+            source: self.address,
+        };
+        let mut peers: Vec<_> = self.peers.keys().copied().collect();
+        use rand::seq::SliceRandom;
+        peers.shuffle(&mut rand::rng());
+        for peer in peers.into_iter().take(DIGEST_FANOUT) {
+            out.push(Output::Send(peer, Message::Digest(digest.clone())));
+        }
+    }
+
+    /// Tells all agents which balancers there are.
+    fn greet_agents(&self, _now: Instant, out: &mut Vec<Output>) {
+        for entry in self.roster.iter() {
+            let message = Message::Balancers(self.balancers());
+            out.push(Output::Send(entry.member.agent, message));
+        }
+    }
+
+    fn balancers(&self) -> Vec<SocketAddr> {
+        let mut balancers: Vec<_> = self.peers.keys().copied().collect();
+        balancers.push(self.address);
+        balancers
+    }
+}
--- /dev/null
+++ b/src/steering/roster.rs
@@ -0,0 +1,222 @@
+//! The agents that a balancer knows, and their order for each flow.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::id::{Bucket, Incarnation, Sequence, Slots};
+use crate::packet::Flow;
+use crate::rank;
+
+/// What an agent's server is ready for.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// The agent has not heard from its server yet.
+    #[default]
+    Waiting,
+    /// The server takes new flows.
+    Ready,
+    /// The server serves its open flows only.
+    Draining,
+    /// The server has ended or fallen silent.
+    Gone,
+}
+
+/// An agent's record. Written by the agent alone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where the agent receives packets; identifies it.
+    pub agent: SocketAddr,
+    /// Start of the agent's process in Unix milliseconds.
+    pub incarnation: Incarnation,
+    /// Increases with each change of the record.
+    pub sequence: Sequence,
+    /// Service of the agent's server.
+    pub service: String,
+    /// Identity of the server's process.
+    pub server: String,
+    /// What the server is ready for.
+    pub state: State,
+    /// Requests that the server works on at the same time.
+    pub slots: Slots,
+}
+
+/// A member as a balancer sees it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The latest record.
+    pub member: Member,
+    /// When the agent was last heard.
+    pub heard: Instant,
+    /// Whether the agent itself was ever heard, not only its stored record.
+    pub direct: bool,
+    /// Requests in progress as last announced.
+    pub busy: u32,
+    /// Flows opened through this balancer since the last announcement.
+    pub opened: u32,
+}
+
+impl Entry {
+    /// Requests in progress for each slot, in thousandths.
+    fn load(&self) -> u32 {
+        (self.busy + self.opened) * 1000 / self.member.slots.0.max(1)
+    }
+}
+
+/// Agents not heard for this long receive no new flows while others are heard: three announcements.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(1300);
+/// Agents not heard for this long are forgotten: the longest life of a flow.
+pub const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// A second choice is taken when its load is this much lower, in thousandths of a slot.
+const LOAD_MARGIN: u32 = 250;
+
+/// The agents, by address.
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: BTreeMap<SocketAddr, Entry>,
+}
+
+impl Roster {
+    /// Merges a record. `direct` tells whether it came from the agent itself. Returns true if the
+    /// record is new or changed.
+    pub fn merge(&mut self, member: Member, direct: bool, now: Instant) -> bool {
+        let key = member.agent;
+        let Some(entry) = self.entries.get_mut(&key) else {
+            let entry = Entry {
+                member,
+                heard: now,
+                direct,
+                busy: 0,
+                opened: 0,
+            };
+            self.entries.insert(key, entry);
+            return true;
+        };
+        if direct {
+            entry.heard = now;
+            entry.direct = true;
+        }
+        let order = |m: &Member| (m.incarnation, m.sequence);
+        if order(&member) <= order(&entry.member) {
+            return false;
+        }
+        entry.member = member;
+        true
+    }
+
+    /// Records an agent's announced load.
+    pub fn load(&mut self, agent: &SocketAddr, busy: u32) {
+        if let Some(entry) = self.entries.get_mut(agent) {
+            entry.busy = busy;
+            entry.opened = 0;
+        }
+    }
+
+    /// Counts a new flow given to an agent.
+    pub fn opened(&mut self, agent: &SocketAddr) {
+        if let Some(entry) = self.entries.get_mut(agent) {
+            entry.opened += 1;
+        }
+    }
+
+    /// Records that an agent was heard.
+    pub fn heard(&mut self, agent: &SocketAddr, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(agent) {
+            entry.heard = now;
+        }
+    }
+
+    /// Moves all times forward after this process stood still, so that its own pause isn't taken
+    /// for the agents' silence.
+    pub fn resumed(&mut self, pause: Duration) {
+        for entry in self.entries.values_mut() {
+            entry.heard += pause;
+        }
+    }
+
+    /// Drops agents that were not heard for [`FORGET_AFTER`].
+    pub fn expire(&mut self, now: Instant) {
+        self.entries
+            .retain(|_, entry| now.saturating_duration_since(entry.heard) < FORGET_AFTER);
+    }
+
+    /// The agent's entry.
+    pub fn get(&self, agent: &SocketAddr) -> Option<&Entry> {
+        self.entries.get(agent)
+    }
+
+    /// All entries.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Number of agents.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no agent is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Agents that may take a new flow of `service`, the best first. Agents that are suspect
+    /// come last.
+    pub fn openers(&self, service: &str, flow: &Flow, now: Instant) -> Vec<SocketAddr> {
+        let mut order = self.order(flow, |entry| {
+            entry.member.service == service && entry.member.state == State::Ready
+        });
+        let (heard, suspect): (Vec<_>, Vec<_>) = order.drain(..).partition(|e| !suspect(e, now));
+        let mut agents: Vec<_> = heard.iter().map(|entry| entry.member.agent).collect();
+        if let [first, second, ..] = heard[..] {
+            if first.load() > second.load() + LOAD_MARGIN {
+                agents.swap(0, 1);
+            }
+        }
+        agents.extend(suspect.iter().map(|entry| entry.member.agent));
+        agents
+    }
+
+    /// Agents that may hold an open flow, the likeliest first: those of `likely` services, then the
+    /// others, and within each the ones that are heard before the suspect ones.
+    pub fn holders(
+        &self,
+        likely: impl Fn(&str) -> bool,
+        flow: &Flow,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let mut order = self.order(flow, |_| true);
+        order.sort_by_key(|entry| {
+            let unlikely = !likely(&entry.member.service) || entry.member.state == State::Gone;
+            (suspect(entry, now), unlikely)
+        });
+        order.iter().map(|entry| entry.member.agent).collect()
+    }
+
+    /// Whether every agent was heard recently.
+    pub fn settled(&self, now: Instant) -> bool {
+        self.entries.values().all(|entry| !suspect(entry, now))
+    }
+
+    fn order(&self, flow: &Flow, fits: impl Fn(&Entry) -> bool) -> Vec<&Entry> {
+        let bucket = Bucket(flow.hash() as u32);
+        let mut order: Vec<_> = self.entries.values().filter(|entry| fits(entry)).collect();
+        order.sort_by_cached_key(|entry| {
+            let name = entry.member.agent.to_string();
+            let hash = rank::hash_bytes(name.as_bytes());
+            std::cmp::Reverse(rank::score(hash, entry.member.slots, bucket))
+        });
+        order
+    }
+}
+
+fn suspect(entry: &Entry, now: Instant) -> bool {
+    now.saturating_duration_since(entry.heard) > SUSPECT_AFTER
+}
--- /dev/null
+++ b/src/steering/routes.rs
@@ -0,0 +1,147 @@
+//! Routes in force: which services receive the new flows of an address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::id::Generation;
+use crate::packet::Flow;
+
+/// Whether a request may be sent again when its outcome is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    /// Requests are idempotent.
+    Idempotent,
+    /// Requests run at most once.
+    AtMostOnce,
+    /// Idempotent requests with large answers.
+    Download,
+}
+
+/// A share of a route's new flows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Name of the service.
+    pub service: String,
+    /// Share relative to the other targets.
+    pub weight: u32,
+}
+
+/// One address and the services behind it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// The operator's name for the route.
+    pub name: String,
+    /// Address and port that clients send to.
+    pub address: SocketAddr,
+    /// Services that receive new flows. Never empty.
+    pub targets: Vec<Target>,
+    /// Whether its requests may be repeated.
+    pub repeat: Repeat,
+    /// Latency objective of its requests.
+    pub objective: Duration,
+    /// 0 is the highest.
+    pub priority: u32,
+}
+
+impl Route {
+    /// The service that a new flow belongs to, by weight. The same on every host.
+    pub fn service(&self, flow: &Flow) -> &str {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let mut draw = (flow.hash() >> 32) % total.max(1);
+        for target in &self.targets {
+            let weight = u64::from(target.weight);
+            if draw < weight {
+                return &target.service;
+            }
+            draw -= weight;
+        }
+        &self.targets[0].service
+    }
+}
+
+/// One accepted configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Routes {
+    /// Increases with each accepted configuration.
+    pub generation: Generation,
+    /// The operator's version number, for logs.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// Time after which a flow without packets may be forgotten.
+    pub idle_timeout: Duration,
+}
+
+/// Routes by address, with the services that each address has had.
+#[derive(Debug, Default)]
+pub struct Table {
+    routes: HashMap<SocketAddr, Route>,
+    /// Services that open flows of an address may still belong to.
+    former: HashMap<SocketAddr, Vec<String>>,
+    generation: Generation,
+    version: u64,
+}
+
+impl Table {
+    /// Adopts a configuration. Returns false, and changes nothing, if it isn't newer.
+    pub fn adopt(&mut self, routes: Routes) -> bool {
+        if routes.generation <= self.generation {
+            return false;
+        }
+        self.generation = routes.generation;
+        self.version = routes.version;
+        for route in self.routes.values() {
+            let former = self.former.entry(route.address).or_default();
+            for target in &route.targets {
+                if !former.contains(&target.service) {
+                    former.push(target.service.clone());
+                }
+            }
+        }
+        self.routes = routes.routes.into_iter().map(|r| (r.address, r)).collect();
+        self.former
+            .retain(|address, _| self.routes.contains_key(address));
+        true
+    }
+
+    /// The route of an address.
+    pub fn get(&self, address: &SocketAddr) -> Option<&Route> {
+        self.routes.get(address)
+    }
+
+    /// Whether flows of `address` may belong to `service`, now or by an earlier configuration.
+    pub fn allowed(&self, address: &SocketAddr, service: &str) -> bool {
+        let now = self.routes.get(address);
+        now.is_some_and(|route| route.targets.iter().any(|t| t.service == service))
+            || self
+                .former
+                .get(address)
+                .is_some_and(|former| former.iter().any(|name| name == service))
+    }
+
+    /// Generation in force; zero before the first configuration.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// The operator's version number of the configuration in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Whether there are no routes.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+}
