End searches for lost flows

A search for such a flow ended at an agent whose server had left for good, so nobody told the client, and about 200 requests waited out their deadline.

Searches leave out agents whose server has ended and those that are silent for 4 s while most are heard; a search that every agent answered ends in a reset.

--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -31,9 +31,9 @@
 const DIGEST_FANOUT: usize = 3;
 /// Peers not heard for this long are forgotten.
 const FORGET_PEER_AFTER: Duration = Duration::from_secs(60);
-/// Time after the start before missing agents count as evidence that a flow's server is gone: two
-/// announcements and the list from the directory.
-const LEARN_TIME: Duration = Duration::from_millis(2500);
+/// Time after the start before a search without a result counts as evidence that a flow's server
+/// is gone: agents missing from the directory have announced themselves by then.
+const LEARN_TIME: Duration = Duration::from_millis(600);
 /// Copies of an opening packet that clients send; after the last one a refusal is final.
 const LAST_COPY: u32 = 2;
 
@@ -494,7 +494,7 @@
             return;
         }
         let learned = self.listed && now.saturating_duration_since(self.started) > LEARN_TIME;
-        if forward.complete && learned && self.roster.settled(now) {
+        if forward.complete && learned {
             self.flows.remove(&flow);
             self.reset(segment, "no_server_holds_it", out);
         }
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -74,6 +74,9 @@
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1300);
 /// Agents not heard for this long are forgotten: the longest life of a flow.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Agents not heard for this long are taken as lost while most others are heard: a killed agent is
+/// back sooner, and longer silence of many is this balancer's own.
+pub const LOST_AFTER: Duration = Duration::from_secs(4);
 /// A second choice is taken when its load is this much lower, in thousandths of a slot.
 const LOAD_MARGIN: u32 = 250;
 
@@ -185,24 +188,25 @@
     }
 
     /// Agents that may hold an open flow, the likeliest first: those of `likely` services, then the
-    /// others, and within each the ones that are heard before the suspect ones.
+    /// others, then those that are suspect. Agents whose server has ended hold nothing.
     pub fn holders(
         &self,
         likely: impl Fn(&str) -> bool,
         flow: &Flow,
         now: Instant,
     ) -> Vec<SocketAddr> {
-        let mut order = self.order(flow, |_| true);
-        order.sort_by_key(|entry| {
-            let unlikely = !likely(&entry.member.service) || entry.member.state == State::Gone;
-            (suspect(entry, now), unlikely)
+        let reachable = self.reachable(now);
+        let mut order = self.order(flow, |entry| {
+            entry.member.state != State::Gone && !(reachable && silent(entry, now, LOST_AFTER))
         });
+        order.sort_by_key(|entry| (suspect(entry, now), !likely(&entry.member.service)));
         order.iter().map(|entry| entry.member.agent).collect()
     }
 
-    /// Whether every agent was heard recently.
-    pub fn settled(&self, now: Instant) -> bool {
-        self.entries.values().all(|entry| !suspect(entry, now))
+    /// Whether most agents are heard, so that one that is silent has failed itself.
+    fn reachable(&self, now: Instant) -> bool {
+        let silent = self.entries.values().filter(|entry| suspect(entry, now));
+        silent.count() * 3 < self.entries.len()
     }
 
     fn order(&self, flow: &Flow, fits: impl Fn(&Entry) -> bool) -> Vec<&Entry> {
@@ -218,5 +222,9 @@
 }
 
 fn suspect(entry: &Entry, now: Instant) -> bool {
-    now.saturating_duration_since(entry.heard) > SUSPECT_AFTER
+    silent(entry, now, SUSPECT_AFTER)
+}
+
+fn silent(entry: &Entry, now: Instant, limit: Duration) -> bool {
+    now.saturating_duration_since(entry.heard) > limit
 }
