Reset flows that ended with their server before clients use them

Cause: a server that loses power forgets its flows, and nobody told the clients. Their next request on such a flow failed; a request that may run only once isn't retried.

A balancer resets the flows that it knows at a former server once an agent reports the next one.

Ruled out: the search itself; it ends in a reset within 80 ms, but only after the request was sent.

--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{Incarnation, Sequence, Slots};
-use crate::packet::Flow;
+use serde::{Deserialize, Serialize};
+
+use crate::packet::{Flow, Protocol};
 
 use super::message::{Announce, Forward, Message, Owner};
-use super::roster::{Member, State};
+use super::roster::{Member, Process, State};
 use super::segment::{Kind, Segment};
 
 /// How often [`Agent::tick`] is meant to be called.
@@ -23,6 +25,12 @@
 const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
 /// Balancers that send nothing for this long are forgotten.
 const FORGET_BALANCER_AFTER: Duration = Duration::from_secs(60);
+/// Time between saved snapshots of the open flows.
+const SAVE_EVERY: Duration = Duration::from_millis(2500);
+/// Flows younger than this are not saved: most of them end before it matters.
+const SAVE_AGE: Duration = Duration::from_secs(2);
+/// Most flows in a snapshot, which keeps it far below the largest object of a directory.
+const SAVE_MAX: usize = 10_000;
 /// Heartbeat periods without a heartbeat after which the server gets no new flows.
 const SILENT_PERIODS: u32 = 3;
 
@@ -49,10 +57,43 @@
     },
     /// Store the agent's record in the directory.
     Publish(Member),
+    /// Store the open flows in the directory.
+    Save(Snapshot),
     /// A decision, as a log line.
     Decision(String),
 }
 
+/// The open flows of one server, kept in the directory. If the host loses power, the clients of
+/// flows that ended with the server can still be told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The server's process.
+    pub process: Process,
+    /// Its flows, ordered by client.
+    pub flows: Vec<Saved>,
+}
+
+/// An open flow in a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Saved {
+    /// The client's end.
+    pub client: SocketAddr,
+    /// The address the client opened the flow to.
+    pub address: SocketAddr,
+    /// Highest acknowledgement number from the client.
+    pub acknowledged: u32,
+}
+
+impl Saved {
+    fn flow(&self) -> Flow {
+        Flow {
+            protocol: Protocol::Tcp,
+            source: self.client,
+            destination: self.address,
+        }
+    }
+}
+
 /// What a server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -95,6 +136,7 @@
     origin: Option<SocketAddr>,
     /// The origin waits to hear who holds the flow.
     asked: bool,
+    since: Instant,
     seen: Instant,
 }
 
@@ -107,6 +149,7 @@
             finished: false,
             origin,
             asked: false,
+            since: now,
             seen: now,
         }
     }
@@ -127,8 +170,7 @@
 #[derive(Debug)]
 pub struct Agent {
     member: Member,
-    /// Start and last heartbeat number of the server's process.
-    server_started: u64,
+    /// Last heartbeat number of the server's process.
     server_sequence: u64,
     heard: Option<Instant>,
     heartbeat_every: Duration,
@@ -139,6 +181,11 @@
     balancers: HashMap<SocketAddr, Instant>,
     announce_due: Instant,
     expire_due: Instant,
+    save_due: Instant,
+    /// Clients' ends in the last snapshot.
+    saved: Vec<SocketAddr>,
+    /// Snapshot of an earlier run whose server isn't known to live on or to have ended yet.
+    former: Option<Snapshot>,
     ticked: Instant,
 }
 
@@ -158,10 +205,10 @@
                 sequence: Sequence(0),
                 service,
                 server: String::new(),
+                started: 0,
                 state: State::Waiting,
                 slots: Slots(1),
             },
-            server_started: 0,
             server_sequence: 0,
             heard: None,
             heartbeat_every,
@@ -171,6 +218,9 @@
             balancers: HashMap::new(),
             announce_due: now,
             expire_due: now,
+            save_due: now + SAVE_EVERY,
+            saved: Vec::new(),
+            former: None,
             ticked: now,
         }
     }
@@ -197,6 +247,40 @@
         }
     }
 
+    /// Takes over the snapshot that an earlier run of this agent saved.
+    pub fn restore(&mut self, snapshot: Snapshot, now: Instant, out: &mut Vec<Output>) {
+        self.former = Some(snapshot);
+        self.settle_former(now, out);
+    }
+
+    /// Keeps the flows of the former snapshot if their server lives, or else resets them.
+    fn settle_former(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.member.server.is_empty() {
+            return;
+        }
+        let Some(former) = self.former.take() else {
+            return;
+        };
+        let alive = former.process == self.member.process();
+        out.push(Output::Decision(format!(
+            "event=snapshot_restored flows={} server_alive={alive}",
+            former.flows.len()
+        )));
+        for saved in former.flows {
+            let flow = saved.flow();
+            if !alive {
+                self.reset(flow, saved.acknowledged, "server_ended_earlier", out);
+                continue;
+            }
+            let held = self
+                .flows
+                .entry(flow)
+                .or_insert_with(|| Held::new(None, now));
+            held.open = true;
+            held.acknowledged = held.acknowledged.max(saved.acknowledged);
+        }
+    }
+
     /// A heartbeat of the server.
     pub fn heartbeat(
         &mut self,
@@ -205,9 +289,9 @@
         out: &mut Vec<Output>,
     ) -> Outcome {
         let same =
-            heartbeat.server == self.member.server && heartbeat.started == self.server_started;
+            heartbeat.server == self.member.server && heartbeat.started == self.member.started;
         let late = same && heartbeat.sequence <= self.server_sequence;
-        if heartbeat.started < self.server_started || late {
+        if heartbeat.started < self.member.started || late {
             out.push(Output::Decision(format!(
                 "event=heartbeat_ignored server={} started={} sequence={} reason=outdated",
                 heartbeat.server, heartbeat.started, heartbeat.sequence
@@ -217,15 +301,16 @@
         if !same && !self.member.server.is_empty() {
             self.server_ended("replaced", out);
         }
-        self.server_started = heartbeat.started;
         self.server_sequence = heartbeat.sequence;
         self.heard = Some(now);
         let mut member = self.member.clone();
         member.server = heartbeat.server;
+        member.started = heartbeat.started;
         member.service = heartbeat.service;
         member.slots = heartbeat.slots;
         member.state = heartbeat.state;
         self.update(member, "heartbeat", now, out);
+        self.settle_former(now, out);
         Outcome::Accepted
     }
 
@@ -287,7 +372,6 @@
             return;
         }
         let flow = segment.flow;
-        let address = self.member.agent;
         if segment.opens() {
             let held = self.flows.contains_key(&flow);
             let wrong = forward.service != self.member.service;
@@ -310,7 +394,7 @@
                 held.origin = Some(forward.origin);
                 held.asked = !held.open;
                 if held.open {
-                    let owner = owner(flow, address, None);
+                    let owner = owner(flow, &self.member, None);
                     out.push(Output::Send(forward.origin, Message::Owner(owner)));
                 }
             }
@@ -402,7 +486,6 @@
         out: &mut Vec<Output>,
     ) {
         let flow = segment.flow;
-        let address = self.member.agent;
         let held = self
             .flows
             .entry(flow)
@@ -417,7 +500,7 @@
         if accepted.is_some() || held.asked {
             held.asked = false;
             if let Some(origin) = held.origin {
-                let owner = owner(flow, address, accepted);
+                let owner = owner(flow, &self.member, accepted);
                 out.push(Output::Send(origin, Message::Owner(owner)));
             }
         }
@@ -447,6 +530,10 @@
         if now >= self.announce_due {
             self.announce(now, out);
         }
+        if now >= self.save_due {
+            self.save_due = now + SAVE_EVERY;
+            self.save(now, out);
+        }
         if now >= self.expire_due {
             self.expire_due = now + Duration::from_secs(1);
             self.flows
@@ -456,6 +543,37 @@
         }
     }
 
+    /// Saves the open flows if others than last time are open.
+    fn save(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.former.is_some() || self.member.server.is_empty() {
+            return;
+        }
+        let lasting = |held: &Held| {
+            held.open && !held.finished && now.saturating_duration_since(held.since) >= SAVE_AGE
+        };
+        let mut flows: Vec<_> = self
+            .flows
+            .iter()
+            .filter(|(_, held)| lasting(held))
+            .map(|(flow, held)| Saved {
+                client: flow.source,
+                address: flow.destination,
+                acknowledged: held.acknowledged,
+            })
+            .collect();
+        flows.sort_unstable();
+        flows.truncate(SAVE_MAX);
+        let clients: Vec<_> = flows.iter().map(|saved| saved.client).collect();
+        if clients == self.saved {
+            return;
+        }
+        self.saved = clients;
+        out.push(Output::Save(Snapshot {
+            process: self.member.process(),
+            flows,
+        }));
+    }
+
     fn announce(&mut self, now: Instant, out: &mut Vec<Output>) {
         self.announce_due = now + ANNOUNCE_EVERY;
         let announce = Announce {
@@ -508,11 +626,12 @@
     }
 }
 
-fn owner(flow: Flow, agent: SocketAddr, accepted: Option<u32>) -> Owner {
+fn owner(flow: Flow, member: &Member, accepted: Option<u32>) -> Owner {
     Owner {
         client: flow.source,
         address: flow.destination,
-        agent,
+        agent: member.agent,
+        process: member.process(),
         accepted,
     }
 }
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -8,7 +8,7 @@
 use crate::packet::{Flow, Protocol};
 
 use super::message::{Announce, Digest, Forward, Message, Owner};
-use super::roster::{Member, Roster, State};
+use super::roster::{Member, Process, Roster, State};
 use super::routes::{Routes, Table};
 use super::segment::Segment;
 
@@ -60,8 +60,10 @@
 struct Known {
     /// The agent that gets the flow's packets.
     agent: SocketAddr,
-    /// Whether the agent said that its server accepted the flow.
-    confirmed: bool,
+    /// The server that accepted the flow, once the agent has said so.
+    process: Option<Process>,
+    /// Highest acknowledgement number from the client.
+    acknowledged: u32,
     /// Acceptances by sequence number, while several servers may have accepted the flow.
     accepted: Vec<(u32, SocketAddr)>,
     /// Agents that got the opening packet.
@@ -71,6 +73,20 @@
     seen: Instant,
 }
 
+impl Known {
+    fn new(agent: SocketAddr, now: Instant) -> Self {
+        Self {
+            agent,
+            process: None,
+            acknowledged: 0,
+            accepted: Vec::new(),
+            asked: Vec::new(),
+            lookups: 0,
+            seen: now,
+        }
+    }
+}
+
 /// An opening packet whose acceptance is awaited.
 #[derive(Debug)]
 struct Opening {
@@ -196,6 +212,7 @@
         }
         if let Some(known) = self.flows.get_mut(&flow) {
             known.seen = now;
+            known.acknowledged = segment.acknowledgement;
             if let Some((_, agent)) = known
                 .accepted
                 .iter()
@@ -204,7 +221,7 @@
                 known.agent = *agent;
                 known.accepted.clear();
             }
-            let (agent, confirmed) = (known.agent, known.confirmed);
+            let (agent, confirmed) = (known.agent, known.process.is_some());
             let gone = self
                 .roster
                 .get(&agent)
@@ -294,14 +311,7 @@
     ) {
         let flow = segment.flow;
         let openers = self.roster.openers(&service, &flow, now);
-        let known = self.flows.entry(flow).or_insert_with(|| Known {
-            agent: self.address,
-            confirmed: false,
-            accepted: Vec::new(),
-            asked: Vec::new(),
-            lookups: 0,
-            seen: now,
-        });
+        let known = self.flows.entry(flow).or_insert_with(|| Known::new(self.address, now));
         known.seen = now;
         // A copy goes to an agent that hasn't had the packet: the others may be out of reach.
         let fresh = |agent: &&SocketAddr| !known.asked.contains(agent);
@@ -354,7 +364,7 @@
             let Some(known) = self.flows.get_mut(&opening.flow) else {
                 continue;
             };
-            if known.confirmed || opening.hedges >= HEDGES_MAX {
+            if known.process.is_some() || opening.hedges >= HEDGES_MAX {
                 continue;
             }
             let openers = self.roster.openers(&opening.service, &opening.flow, now);
@@ -391,14 +401,7 @@
         if holders.is_empty() {
             return;
         }
-        let known = self.flows.entry(flow).or_insert_with(|| Known {
-            agent: holders[0],
-            confirmed: false,
-            accepted: Vec::new(),
-            asked: Vec::new(),
-            lookups: 0,
-            seen: now,
-        });
+        let known = self.flows.entry(flow).or_insert_with(|| Known::new(holders[0], now));
         known.seen = now;
         // Agents that were asked to open the flow come first.
         let (asked, agent) = (&known.asked, known.agent);
@@ -447,14 +450,7 @@
             source: owner.client,
             destination: owner.address,
         };
-        let known = self.flows.entry(flow).or_insert_with(|| Known {
-            agent: owner.agent,
-            confirmed: false,
-            accepted: Vec::new(),
-            asked: Vec::new(),
-            lookups: 0,
-            seen: now,
-        });
+        let known = self.flows.entry(flow).or_insert_with(|| Known::new(owner.agent, now));
         known.lookups = 0;
         match owner.accepted {
             None => {
@@ -468,7 +464,7 @@
                 known.accepted.push((sequence, owner.agent));
             }
         }
-        known.confirmed = true;
+        known.process = Some(owner.process);
     }
 
     /// No candidate took the packet.
@@ -488,7 +484,7 @@
         }
         if !forward.lookup {
             if let Some(known) = self.flows.get_mut(&flow) {
-                known.confirmed = false;
+                known.process = None;
             }
             self.lookup(segment, forward.packet.clone(), now, out);
             return;
@@ -533,8 +529,32 @@
             member.incarnation,
             member.sequence
         );
+        let ended = member.state == State::Gone;
+        let (agent, process) = (member.agent, member.process());
+        let named = !member.server.is_empty();
         if self.roster.merge(member, direct, now) {
             out.push(Output::Decision(line));
+            if named {
+                self.end_flows(agent, (!ended).then_some(process), out);
+            }
+        }
+    }
+
+    /// Resets the flows that this balancer knows to be at former servers of an agent, so that their
+    /// clients don't use them for further requests.
+    fn end_flows(&mut self, agent: SocketAddr, current: Option<Process>, out: &mut Vec<Output>) {
+        let lost = |known: &Known| {
+            known.agent == agent && known.process.is_some() && known.process != current
+        };
+        let ended: Vec<_> = self.flows.extract_if(|_, known| lost(known)).collect();
+        for (flow, known) in ended {
+            out.push(Output::Decision(format!(
+                "decision=reset flow={flow} reason=server_ended agent={agent}"
+            )));
+            out.push(Output::Reset {
+                flow,
+                sequence: known.acknowledged,
+            });
         }
     }
 
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -6,7 +6,7 @@
 
 use crate::id::Generation;
 
-use super::roster::Member;
+use super::roster::{Member, Process};
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +52,8 @@
     pub address: SocketAddr,
     /// The agent.
     pub agent: SocketAddr,
+    /// The server's process that holds it.
+    pub process: Process,
     /// Sequence number of the server's acceptance, if the flow is being opened.
     pub accepted: Option<u32>,
 }
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -40,14 +40,28 @@
     pub sequence: Sequence,
     /// Service of the agent's server.
     pub service: String,
-    /// Identity of the server's process.
+    /// Name of the server.
     pub server: String,
+    /// Start of the server's process in Unix milliseconds: a server may start again under its name.
+    #[serde(default)]
+    pub started: u64,
     /// What the server is ready for.
     pub state: State,
     /// Requests that the server works on at the same time.
     pub slots: Slots,
 }
 
+impl Member {
+    /// Identifies the server's process.
+    pub fn process(&self) -> Process {
+        Process(rank::hash_bytes(self.server.as_bytes()) ^ self.started)
+    }
+}
+
+/// One run of a server. Its flows end with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Process(pub u64);
+
 /// A member as a balancer sees it.
 #[derive(Clone, Debug)]
 pub struct Entry {
