Place new flows by load among three agents; busy agents pass them on

Cause: after a restart of all servers the clients open their flows at once, and the hash gives some servers more than their queue holds.

A balancer compares the first three agents by announced requests and flows; an agent whose slots are all in use passes a new flow on, at most twice.

--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -31,6 +31,8 @@
 const SAVE_AGE: Duration = Duration::from_secs(2);
 /// Most flows in a snapshot, which keeps it far below the largest object of a directory.
 const SAVE_MAX: usize = 10_000;
+/// Times that a new flow is passed on by agents whose servers have all slots in use.
+const PASSES_MAX: u8 = 2;
 /// Heartbeat periods without a heartbeat after which the server gets no new flows.
 const SILENT_PERIODS: u32 = 3;
 
@@ -141,6 +143,11 @@
 }
 
 impl Held {
+    /// Whether more requests may come on the flow.
+    fn lasts(&self) -> bool {
+        self.open && !self.finished
+    }
+
     fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
         Self {
             open: false,
@@ -162,6 +169,7 @@
     service: String,
     origin: SocketAddr,
     lookup: bool,
+    passes: u8,
     complete: bool,
     candidates: Vec<SocketAddr>,
 }
@@ -366,7 +374,7 @@
     }
 
     /// A client's packet.
-    fn packet(&mut self, segment: Segment, forward: Forward, now: Instant, out: &mut Vec<Output>) {
+    fn packet(&mut self, segment: Segment, mut forward: Forward, now: Instant, out: &mut Vec<Output>) {
         if self.member.state == State::Gone {
             self.pass(segment, forward, "server_gone", out);
             return;
@@ -379,6 +387,13 @@
                 self.pass(segment, forward, "not_accepting", out);
                 return;
             }
+            let busy = self.busy() >= self.member.slots.0;
+            let others = forward.passes < PASSES_MAX && !forward.candidates.is_empty();
+            if !held && busy && others {
+                forward.passes += 1;
+                self.pass(segment, forward, "busy", out);
+                return;
+            }
             self.flows
                 .entry(flow)
                 .or_insert_with(|| Held::new(Some(forward.origin), now));
@@ -409,6 +424,7 @@
             service: forward.service,
             origin: forward.origin,
             lookup: forward.lookup,
+            passes: forward.passes,
             complete: forward.complete,
             candidates: forward.candidates,
         });
@@ -471,6 +487,7 @@
             origin: pending.origin,
             lookup: pending.lookup,
             candidates: pending.candidates,
+            passes: pending.passes,
             complete: pending.complete,
             packet,
         };
@@ -549,7 +566,7 @@
             return;
         }
         let lasting = |held: &Held| {
-            held.open && !held.finished && now.saturating_duration_since(held.since) >= SAVE_AGE
+            held.lasts() && now.saturating_duration_since(held.since) >= SAVE_AGE
         };
         let mut flows: Vec<_> = self
             .flows
@@ -579,6 +596,7 @@
         let announce = Announce {
             member: self.member.clone(),
             busy: self.busy(),
+            flows: self.flows.values().filter(|held| held.lasts()).count() as u32,
             balancers: self.balancers.len() as u32,
         };
         for balancer in self.balancers.keys() {
@@ -611,7 +629,7 @@
         let flows: Vec<_> = self
             .flows
             .drain()
-            .filter(|(_, held)| held.open && !held.finished)
+            .filter(|(_, held)| held.lasts())
             .collect();
         for (flow, held) in flows {
             self.reset(flow, held.acknowledged, cause, out);
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -437,6 +437,7 @@
             origin: self.address,
             lookup,
             candidates,
+            passes: 0,
             complete,
             packet,
         };
@@ -511,7 +512,7 @@
     fn announce(&mut self, announce: Announce, now: Instant, out: &mut Vec<Output>) {
         let agent = announce.member.agent;
         self.merge(announce.member, true, now, out);
-        self.roster.load(&agent, announce.busy);
+        self.roster.load(&agent, announce.busy, announce.flows);
         if announce.balancers as usize != self.peers.len() + 1 {
             let balancers = self.balancers();
             out.push(Output::Send(agent, Message::Balancers(balancers)));
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -36,6 +36,8 @@
     pub lookup: bool,
     /// Agents to try if this one's server doesn't take the packet, the next one first.
     pub candidates: Vec<SocketAddr>,
+    /// How often an agent passed the packet on because its server was busy.
+    pub passes: u8,
     /// Whether every agent known to the balancer is among those tried.
     pub complete: bool,
     /// The packet.
@@ -65,6 +67,8 @@
     pub member: Member,
     /// Requests at the server that have no answer yet.
     pub busy: u32,
+    /// Flows that the server holds.
+    pub flows: u32,
     /// Number of balancers that the agent knows, so that a balancer sees when it lacks some.
     pub balancers: u32,
 }
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -73,14 +73,18 @@
     pub direct: bool,
     /// Requests in progress as last announced.
     pub busy: u32,
+    /// Flows held as last announced.
+    pub flows: u32,
     /// Flows opened through this balancer since the last announcement.
     pub opened: u32,
 }
 
 impl Entry {
-    /// Requests in progress for each slot, in thousandths.
+    /// Requests in progress and expected for each slot, in thousandths.
     fn load(&self) -> u32 {
-        (self.busy + self.opened) * 1000 / self.member.slots.0.max(1)
+        let requests = (self.busy + self.opened) * 1000;
+        let expected = self.flows * REQUESTS_PER_FLOW;
+        (requests + expected) / self.member.slots.0.max(1)
     }
 }
 
@@ -91,8 +95,13 @@
 /// Agents not heard for this long are taken as lost while most others are heard: a killed agent is
 /// back sooner, and longer silence of many is this balancer's own.
 pub const LOST_AFTER: Duration = Duration::from_secs(4);
-/// A second choice is taken when its load is this much lower, in thousandths of a slot.
-const LOAD_MARGIN: u32 = 250;
+/// Agents compared by load for a new flow. More would spread flows better, but a balancer that
+/// doesn't know a flow asks the agents in their order.
+const CHOICES: usize = 3;
+/// Loads that differ by less than this are equal, in thousandths of a slot.
+const LOAD_STEP: u32 = 250;
+/// Requests that an open flow has in progress on average, in thousandths.
+const REQUESTS_PER_FLOW: u32 = 60;
 
 /// The agents, by address.
 #[derive(Debug, Default)]
@@ -111,6 +120,7 @@
                 heard: now,
                 direct,
                 busy: 0,
+                flows: 0,
                 opened: 0,
             };
             self.entries.insert(key, entry);
@@ -129,9 +139,10 @@
     }
 
     /// Records an agent's announced load.
-    pub fn load(&mut self, agent: &SocketAddr, busy: u32) {
+    pub fn load(&mut self, agent: &SocketAddr, busy: u32, flows: u32) {
         if let Some(entry) = self.entries.get_mut(agent) {
             entry.busy = busy;
+            entry.flows = flows;
             entry.opened = 0;
         }
     }
@@ -191,12 +202,10 @@
             entry.member.service == service && entry.member.state == State::Ready
         });
         let (heard, suspect): (Vec<_>, Vec<_>) = order.drain(..).partition(|e| !suspect(e, now));
+        let mut heard = heard;
+        let choices = CHOICES.min(heard.len());
+        heard[..choices].sort_by_key(|entry| entry.load() / LOAD_STEP);
         let mut agents: Vec<_> = heard.iter().map(|entry| entry.member.agent).collect();
-        if let [first, second, ..] = heard[..] {
-            if first.load() > second.load() + LOAD_MARGIN {
-                agents.swap(0, 1);
-            }
-        }
         agents.extend(suspect.iter().map(|entry| entry.member.agent));
         agents
     }
