Refuse new flows of full servers at once

Cause: after a restart of all servers, requests queue for longer than their aim or are shed, and the servers work on requests that are late already.

An agent takes no new flow while its server has two requests for each slot, and none of a flow that waited for a copy while all slots are in use. If no agent takes it, the balancer resets the flow, which says that nothing has run, unless another agent was asked too.

--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -33,6 +33,9 @@
 const SAVE_MAX: usize = 10_000;
 /// Times that a new flow is passed on by agents whose servers have all slots in use.
 const PASSES_MAX: u8 = 2;
+/// Requests for each slot above which a server gets no new flows: one runs and one waits, so that
+/// the next one would wait for longer than it runs.
+const REQUESTS_PER_SLOT: u32 = 2;
 /// Heartbeat periods without a heartbeat after which the server gets no new flows.
 const SILENT_PERIODS: u32 = 3;
 
@@ -374,7 +377,13 @@
     }
 
     /// A client's packet.
-    fn packet(&mut self, segment: Segment, mut forward: Forward, now: Instant, out: &mut Vec<Output>) {
+    fn packet(
+        &mut self,
+        segment: Segment,
+        mut forward: Forward,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
         if self.member.state == State::Gone {
             self.pass(segment, forward, "server_gone", out);
             return;
@@ -389,7 +398,7 @@
             }
             let busy = self.busy() >= self.member.slots.0;
             let others = forward.passes < PASSES_MAX && !forward.candidates.is_empty();
-            if !held && busy && others {
+            if !held && (self.full(&segment) || busy && others) {
                 forward.passes += 1;
                 self.pass(segment, forward, "busy", out);
                 return;
@@ -434,6 +443,14 @@
         });
     }
 
+    /// Whether the server has too many requests for another flow. A copy of an opening packet
+    /// belongs to a request that is late already, so it gets a slot only if one is free.
+    fn full(&self, segment: &Segment) -> bool {
+        let copy = segment.acknowledgement > 0;
+        let limit = if copy { 1 } else { REQUESTS_PER_SLOT };
+        self.busy() >= limit * self.member.slots.0
+    }
+
     /// Gives a packet that the server doesn't take to the next candidate.
     fn pass(
         &mut self,
@@ -565,9 +582,8 @@
         if self.former.is_some() || self.member.server.is_empty() {
             return;
         }
-        let lasting = |held: &Held| {
-            held.lasts() && now.saturating_duration_since(held.since) >= SAVE_AGE
-        };
+        let lasting =
+            |held: &Held| held.lasts() && now.saturating_duration_since(held.since) >= SAVE_AGE;
         let mut flows: Vec<_> = self
             .flows
             .iter()
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -34,8 +34,6 @@
 /// Time after the start before a search without a result counts as evidence that a flow's server
 /// is gone: agents missing from the directory have announced themselves by then.
 const LEARN_TIME: Duration = Duration::from_millis(600);
-/// Copies of an opening packet that clients send; after the last one a refusal is final.
-const LAST_COPY: u32 = 2;
 
 /// What the shell has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -311,7 +309,10 @@
     ) {
         let flow = segment.flow;
         let openers = self.roster.openers(&service, &flow, now);
-        let known = self.flows.entry(flow).or_insert_with(|| Known::new(self.address, now));
+        let known = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Known::new(self.address, now));
         known.seen = now;
         // A copy goes to an agent that hasn't had the packet: the others may be out of reach.
         let fresh = |agent: &&SocketAddr| !known.asked.contains(agent);
@@ -401,7 +402,10 @@
         if holders.is_empty() {
             return;
         }
-        let known = self.flows.entry(flow).or_insert_with(|| Known::new(holders[0], now));
+        let known = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Known::new(holders[0], now));
         known.seen = now;
         // Agents that were asked to open the flow come first.
         let (asked, agent) = (&known.asked, known.agent);
@@ -451,7 +455,10 @@
             source: owner.client,
             destination: owner.address,
         };
-        let known = self.flows.entry(flow).or_insert_with(|| Known::new(owner.agent, now));
+        let known = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Known::new(owner.agent, now));
         known.lookups = 0;
         match owner.accepted {
             None => {
@@ -478,7 +485,10 @@
     ) {
         let flow = segment.flow;
         if segment.opens() {
-            if segment.acknowledgement >= LAST_COPY {
+            // Another agent that was asked may still accept the flow.
+            let only = |known: &Known| known.process.is_none() && known.asked.len() <= 1;
+            if self.flows.get(&flow).is_some_and(only) {
+                self.flows.remove(&flow);
                 self.reset(segment, "no_server_accepts", out);
             }
             return;
