Add the emulator and tests of single decisions

The emulator plays the product's own cores in virtual time against models of the fabric, clients, servers, links and the directory, with faults from a scenario and a seed, and checks that no flow is reset while its server holds it, that packets don't wander, that draining servers get no new flows and that no service gets another's flows. Ten scenarios with eight seeds each.

--- /dev/null
+++ b/emulator/src/directory.rs
@@ -0,0 +1,23 @@
+//! A model of the directory: a store that answers after a while, or not at all.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use flamingofall::steering::agent::Snapshot;
+use flamingofall::steering::roster::Member;
+use flamingofall::steering::routes::Routes;
+
+/// What the directory holds.
+#[derive(Debug, Default)]
+pub struct Directory {
+    /// Agents' records.
+    pub members: BTreeMap<SocketAddr, Member>,
+    /// Agents' snapshots.
+    pub snapshots: BTreeMap<SocketAddr, Snapshot>,
+    /// Balancers.
+    pub balancers: Vec<SocketAddr>,
+    /// The configuration in force.
+    pub routes: Routes,
+    /// Whether it answers.
+    pub up: bool,
+}
--- /dev/null
+++ b/emulator/src/lib.rs
@@ -0,0 +1,14 @@
+//! Plays balancers and agents in virtual time against models of clients, servers, links and the
+//! directory.
+//!
+//! A [`scenario::Scenario`] says what exists and what fails when; [`world::World`] plays it with a
+//! seed and returns a [`report::Report`] with what clients received and which guarantees broke.
+//! The cores are the product's own; everything around them is a model.
+
+pub mod client;
+pub mod directory;
+pub mod packet;
+pub mod report;
+pub mod scenario;
+pub mod server;
+pub mod world;
--- /dev/null
+++ b/emulator/src/report.rs
@@ -0,0 +1,136 @@
+//! What a run showed.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Outcomes of requests and broken guarantees.
+#[derive(Debug)]
+pub struct Report {
+    /// Requests asked.
+    pub asked: u64,
+    /// Answered within the deadline.
+    pub served: u64,
+    /// Refused or without an answer.
+    pub failed: u64,
+    /// Time to the answer in microseconds.
+    pub latency: Histogram<u64>,
+    /// Opening packets that reached a server.
+    pub openings: u64,
+    /// Broken guarantees, at most [`Report::BROKEN_MAX`].
+    pub broken: Vec<String>,
+    /// Messages between balancers and agents.
+    pub messages: u64,
+    /// Calls to the directory.
+    pub calls: u64,
+    /// Served and failed requests by the second in which they were asked.
+    pub seconds: Vec<(u64, u64)>,
+}
+
+/// A report as JSON.
+#[derive(Debug, Serialize)]
+pub struct Summary {
+    /// Requests asked.
+    pub asked: u64,
+    /// Share that was served.
+    pub served: f64,
+    /// Median latency in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile of the latency in milliseconds.
+    pub p99_ms: f64,
+    /// Broken guarantees.
+    pub broken: usize,
+    /// Messages between balancers and agents.
+    pub messages: u64,
+    /// Calls to the directory.
+    pub calls: u64,
+}
+
+/// Longest latency recorded in microseconds: beyond any deadline.
+const LATENCY_MAX_US: u64 = 60_000_000;
+
+impl Report {
+    /// Broken guarantees that are kept.
+    pub const BROKEN_MAX: usize = 100;
+
+    /// An empty report.
+    pub fn new() -> Self {
+        Self {
+            asked: 0,
+            served: 0,
+            failed: 0,
+            latency: Histogram::new_with_max(LATENCY_MAX_US, 3).expect("valid limits"),
+            openings: 0,
+            broken: Vec::new(),
+            messages: 0,
+            calls: 0,
+            seconds: Vec::new(),
+        }
+    }
+
+    /// Records a broken guarantee.
+    pub fn broke(&mut self, what: String) {
+        if self.broken.len() < Self::BROKEN_MAX {
+            self.broken.push(what);
+        }
+    }
+
+    /// Records a request's outcome.
+    pub fn ended(&mut self, second: usize, served: bool) {
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, (0, 0));
+        }
+        if served {
+            self.served += 1;
+            self.seconds[second].0 += 1;
+        } else {
+            self.failed += 1;
+            self.seconds[second].1 += 1;
+        }
+    }
+
+    /// Share of the ended requests that was served.
+    pub fn share(&self) -> f64 {
+        self.served as f64 / (self.served + self.failed).max(1) as f64
+    }
+
+    /// The figures.
+    pub fn summary(&self) -> Summary {
+        let ms = |quantile| self.latency.value_at_quantile(quantile) as f64 / 1000.0;
+        Summary {
+            asked: self.asked,
+            served: self.share(),
+            p50_ms: ms(0.5),
+            p99_ms: ms(0.99),
+            broken: self.broken.len(),
+            messages: self.messages,
+            calls: self.calls,
+        }
+    }
+}
+
+impl Default for Report {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let summary = self.summary();
+        write!(
+            f,
+            "asked={} served={:.4} failed={} p50_ms={:.1} p99_ms={:.1} broken={} messages={} \
+             calls={}",
+            summary.asked,
+            summary.served,
+            self.failed,
+            summary.p50_ms,
+            summary.p99_ms,
+            summary.broken,
+            summary.messages,
+            summary.calls
+        )
+    }
+}
--- /dev/null
+++ b/emulator/tests/faults.rs
@@ -0,0 +1,103 @@
+//! Whole runs under faults: nothing may break, and clients are served.
+
+use flamingofall_emulator::scenario::{Event, Kind, Scenario};
+use flamingofall_emulator::world;
+use yare::parameterized;
+
+fn event(at_s: f64, kind: Kind, count: usize, for_s: f64) -> Event {
+    Event {
+        at_s,
+        kind,
+        count,
+        for_s,
+    }
+}
+
+/// Plays a scenario with several seeds; `share` is the least share of requests served.
+fn check(events: Vec<Event>, share: f64) {
+    for seed in 1..=8 {
+        let scenario = Scenario {
+            events: events.clone(),
+            ..Scenario::default()
+        };
+        let report = world::play(scenario, seed);
+        assert!(report.broken.is_empty(), "seed {seed}: {:?}", report.broken);
+        assert!(report.share() >= share, "seed {seed}: {report}");
+    }
+}
+
+// Guards against a fault in the path that shows without any failure.
+#[test]
+fn calm() {
+    check(Vec::new(), 0.999);
+}
+
+// Guards against flows that are lost or reset when the fabric sends them to other balancers.
+#[test]
+fn rolling_balancers() {
+    check(
+        vec![
+            event(3.0, Kind::RestartBalancers, 1, 0.0),
+            event(6.0, Kind::RestartBalancers, 2, 0.0),
+            event(10.0, Kind::RestartBalancers, 4, 0.0),
+        ],
+        0.95,
+    );
+}
+
+// Guards against new work at leaving servers and clients that use their flows after the end.
+#[test]
+fn draining_servers() {
+    check(
+        vec![
+            event(3.0, Kind::AddServers, 2, 0.0),
+            event(5.0, Kind::DrainServers, 2, 0.0),
+        ],
+        0.99,
+    );
+}
+
+// Guards against resets of flows at the other service of a route after its weights change.
+#[test]
+fn changed_weights() {
+    check(
+        vec![
+            event(3.0, Kind::ChangeWeights, 1, 0.0),
+            event(6.0, Kind::ChangeWeights, 1, 0.0),
+            event(8.0, Kind::RestartBalancers, 4, 0.0),
+            event(12.0, Kind::ChangeWeights, 1, 0.0),
+        ],
+        0.95,
+    );
+}
+
+#[parameterized(
+    // Guards against a restarted agent that resets or loses the flows of a living server.
+    killed_agents = { Kind::KillAgents, 3, 0.5, 0.97 },
+    killed_balancers = { Kind::KillBalancers, 2, 1.0, 0.93 },
+    crashed_servers = { Kind::CrashServers, 2, 1.0, 0.97 },
+    directory_down = { Kind::DirectoryDown, 1, 8.0, 0.999 },
+)]
+fn single_fault(kind: Kind, count: usize, for_s: f64, share: f64) {
+    check(vec![event(5.0, kind, count, for_s)], share);
+}
+
+// Guards against flows whose servers are gone and whose clients are never told.
+#[test]
+fn power_off() {
+    check(vec![event(8.0, Kind::PowerOff, 1, 1.0)], 0.9);
+}
+
+// Guards against restarts that depend on the directory.
+#[test]
+fn restarts_without_directory() {
+    check(
+        vec![
+            event(3.0, Kind::DirectoryDown, 1, 14.0),
+            event(4.0, Kind::RestartBalancers, 2, 0.0),
+            event(7.0, Kind::KillAgents, 2, 0.5),
+            event(9.0, Kind::AddServers, 2, 0.0),
+        ],
+        0.95,
+    );
+}
--- /dev/null
+++ b/tests/steering.rs
@@ -0,0 +1,484 @@
+//! Single decisions of the balancer and the agent. Whole runs are in `emulator/tests`.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use flamingofall::id::{Generation, Incarnation, Sequence, Slots};
+use flamingofall::packet::{Flow, Protocol};
+use flamingofall::steering::agent::{self, Agent, Heartbeat, Outcome, Saved, Snapshot};
+use flamingofall::steering::balancer::{self, Balancer};
+use flamingofall::steering::message::{Announce, Forward, Message};
+use flamingofall::steering::roster::{Member, Roster, State, LOST_AFTER, SUSPECT_AFTER};
+use flamingofall::steering::routes::{Repeat, Route, Routes, Table, Target};
+use flamingofall::steering::segment::{Kind, Segment};
+
+fn addr(text: &str) -> SocketAddr {
+    text.parse().unwrap()
+}
+
+fn agent_addr(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, index], 8172))
+}
+
+fn flow(port: u16) -> Flow {
+    Flow {
+        protocol: Protocol::Tcp,
+        source: SocketAddr::from(([100, 64, 0, 1], port)),
+        destination: addr("198.18.0.1:443"),
+    }
+}
+
+fn segment(flow: Flow, kind: Kind, acknowledgement: u32) -> Segment {
+    Segment {
+        flow,
+        kind,
+        sequence: 7,
+        acknowledgement,
+        length: u16::from(kind == Kind::Data) * 100,
+    }
+}
+
+fn member(index: u8, service: &str, state: State) -> Member {
+    Member {
+        agent: agent_addr(index),
+        incarnation: Incarnation(1),
+        sequence: Sequence(1),
+        service: service.into(),
+        server: format!("server-{index}"),
+        started: 1,
+        state,
+        slots: Slots(4),
+    }
+}
+
+fn routes(generation: u64, services: &[(&str, u32)]) -> Routes {
+    let targets = services
+        .iter()
+        .map(|(service, weight)| Target {
+            service: (*service).into(),
+            weight: *weight,
+        })
+        .collect();
+    Routes {
+        generation: Generation(generation),
+        version: generation,
+        routes: vec![Route {
+            name: "route".into(),
+            address: addr("198.18.0.1:443"),
+            targets,
+            repeat: Repeat::Idempotent,
+            objective: Duration::from_millis(200),
+            priority: 1,
+        }],
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+fn balancer(agents: u8, now: Instant) -> Balancer {
+    let mut out = Vec::new();
+    let mut balancer = Balancer::new(addr("10.0.0.1:7720"), now);
+    balancer.configure(routes(1, &[("portal", 1)]), "test", &mut out);
+    let members = (1..=agents).map(|i| member(i, "portal", State::Ready));
+    balancer.directory(members.collect(), Vec::new(), now, &mut out);
+    balancer
+}
+
+/// Agents that the outputs forward a packet to.
+fn forwards(out: &[balancer::Output]) -> Vec<(SocketAddr, Forward)> {
+    out.iter()
+        .filter_map(|output| match output {
+            balancer::Output::Send(to, Message::Forward(forward)) => Some((*to, forward.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn resets(out: &[balancer::Output]) -> usize {
+    let reset = |output: &&balancer::Output| matches!(output, balancer::Output::Reset { .. });
+    out.iter().filter(reset).count()
+}
+
+fn decode_as(segment: Segment) -> impl Fn(&[u8]) -> Option<Segment> {
+    move |_| Some(segment)
+}
+
+fn forward(service: &str, candidates: Vec<SocketAddr>, lookup: bool) -> Forward {
+    Forward {
+        service: service.into(),
+        origin: addr("10.0.0.1:7720"),
+        lookup,
+        candidates,
+        passes: 0,
+        complete: true,
+        packet: vec![1],
+    }
+}
+
+fn heartbeat(server: &str, started: u64, sequence: u64, state: State) -> Heartbeat {
+    Heartbeat {
+        server: server.into(),
+        started,
+        service: "portal".into(),
+        state,
+        slots: Slots(1),
+        sequence,
+    }
+}
+
+fn ready_agent(now: Instant) -> Agent {
+    let mut agent = Agent::new(
+        agent_addr(1),
+        "portal".into(),
+        Incarnation(1),
+        Duration::from_millis(770),
+        now,
+    );
+    agent.heartbeat(heartbeat("a", 1, 1, State::Ready), now, &mut Vec::new());
+    agent
+}
+
+fn agent_gets(
+    agent: &mut Agent,
+    segment: Segment,
+    forward: Forward,
+    now: Instant,
+) -> Vec<agent::Output> {
+    let mut out = Vec::new();
+    let from = addr("10.0.0.1:7720");
+    agent.message(
+        from,
+        Message::Forward(forward),
+        decode_as(segment),
+        now,
+        &mut out,
+    );
+    out
+}
+
+fn delivered(out: &[agent::Output]) -> Option<u32> {
+    out.iter().find_map(|output| match output {
+        agent::Output::Deliver { token, .. } => Some(*token),
+        _ => None,
+    })
+}
+
+fn agent_resets(out: &[agent::Output]) -> usize {
+    let reset = |output: &&agent::Output| matches!(output, agent::Output::Reset { .. });
+    out.iter().filter(reset).count()
+}
+
+// Guards against copies that go where the first packet was lost.
+#[test]
+fn copies_move_on() {
+    let now = Instant::now();
+    let mut balancer = balancer(4, now);
+    let mut agents = Vec::new();
+    for copy in 0..3 {
+        let mut out = Vec::new();
+        balancer.packet(segment(flow(1), Kind::Open, copy), vec![0], now, &mut out);
+        agents.push(forwards(&out)[0].0);
+    }
+    agents.dedup();
+    assert_eq!(agents.len(), 3, "{agents:?}");
+}
+
+// Guards against an agent that is out of reach and delays a flow until the client's copy.
+#[test]
+fn silent_agent_hedged() {
+    let now = Instant::now();
+    let mut balancer = balancer(4, now);
+    let mut out = Vec::new();
+    balancer.packet(segment(flow(1), Kind::Open, 0), vec![0], now, &mut out);
+    let first = forwards(&out)[0].0;
+    out.clear();
+    balancer.tick(now + Duration::from_millis(100), &mut out);
+    assert_eq!(forwards(&out).len(), 1);
+    assert_ne!(forwards(&out)[0].0, first);
+}
+
+// Guards against a refusal while another agent may still accept the flow.
+#[test]
+fn refused_once() {
+    let now = Instant::now();
+    let mut balancer = balancer(2, now);
+    let open = segment(flow(1), Kind::Open, 0);
+    let mut out = Vec::new();
+    balancer.packet(open, vec![0], now, &mut out);
+    balancer.tick(now + Duration::from_millis(100), &mut out);
+    out.clear();
+    let message = Message::Exhausted(forward("portal", Vec::new(), false));
+    balancer.message(
+        agent_addr(1),
+        message.clone(),
+        decode_as(open),
+        now,
+        &mut out,
+    );
+    assert_eq!(resets(&out), 0);
+
+    let other = segment(flow(2), Kind::Open, 0);
+    balancer.packet(other, vec![0], now, &mut out);
+    balancer.message(agent_addr(1), message, decode_as(other), now, &mut out);
+    assert_eq!(resets(&out), 1);
+}
+
+// Guards against clients that wait for a flow that no server holds, and against resets by a
+// balancer that doesn't know all agents yet.
+#[test]
+fn fruitless_lookup() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut balancer = balancer(2, now);
+    let data = segment(flow(1), Kind::Data, 5);
+    let message = Message::Exhausted(forward("", Vec::new(), true));
+    let mut out = Vec::new();
+    balancer.message(
+        agent_addr(1),
+        message.clone(),
+        decode_as(data),
+        now,
+        &mut out,
+    );
+    assert_eq!(resets(&out), 0, "too early");
+    balancer.message(agent_addr(1), message, decode_as(data), later, &mut out);
+    assert_eq!(resets(&out), 1);
+}
+
+// Guards against searches that end at a host that has gone for good.
+#[test]
+fn gone_not_searched() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    for index in 1..=6 {
+        roster.merge(member(index, "portal", State::Ready), true, now);
+    }
+    roster.merge(member(7, "portal", State::Gone), true, now);
+    let likely = |service: &str| service == "portal";
+    assert_eq!(roster.holders(likely, &flow(1), now).len(), 6);
+
+    let later = now + LOST_AFTER + Duration::from_millis(1);
+    for index in 2..=6 {
+        roster.heard(&agent_addr(index), later);
+    }
+    assert_eq!(roster.holders(likely, &flow(1), later).len(), 5);
+}
+
+// Guards against a balancer that was cut off and takes all agents for lost.
+#[test]
+fn silence_of_all() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    for index in 1..=4 {
+        roster.merge(member(index, "portal", State::Ready), true, now);
+    }
+    let later = now + LOST_AFTER * 2;
+    assert_eq!(roster.holders(|_| true, &flow(1), later).len(), 4);
+    assert_eq!(roster.openers("portal", &flow(1), later).len(), 4);
+}
+
+// Guards against new flows at an agent that has fallen silent while others are heard.
+#[test]
+fn suspect_last() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    for index in 1..=4 {
+        roster.merge(member(index, "portal", State::Ready), true, now);
+    }
+    let later = now + SUSPECT_AFTER + Duration::from_millis(1);
+    for index in 2..=4 {
+        roster.heard(&agent_addr(index), later);
+    }
+    for port in 1..100 {
+        let openers = roster.openers("portal", &flow(port), later);
+        assert_eq!(openers.last(), Some(&agent_addr(1)));
+    }
+}
+
+// Guards against flows that their clients go on using after the server has been replaced.
+#[test]
+fn replaced_server() {
+    let now = Instant::now();
+    let mut balancer = balancer(1, now);
+    let mut out = Vec::new();
+    let owner = |process| {
+        Message::Owner(flamingofall::steering::message::Owner {
+            client: flow(1).source,
+            address: flow(1).destination,
+            agent: agent_addr(1),
+            process,
+            accepted: Some(9),
+        })
+    };
+    let old = member(1, "portal", State::Ready);
+    let mut new = old.clone();
+    new.sequence = Sequence(2);
+    new.started = 2;
+    balancer.message(agent_addr(1), owner(old.process()), |_| None, now, &mut out);
+    let announce = |member| {
+        Message::Announce(Announce {
+            member,
+            busy: 0,
+            flows: 0,
+            balancers: 1,
+        })
+    };
+    balancer.message(
+        agent_addr(1),
+        announce(new.clone()),
+        |_| None,
+        now,
+        &mut out,
+    );
+    assert_eq!(resets(&out), 1);
+
+    // A flow of the new server whose owner arrived before the announcement stays.
+    out.clear();
+    let mut newer = new;
+    newer.sequence = Sequence(3);
+    newer.started = 3;
+    balancer.message(
+        agent_addr(1),
+        owner(newer.process()),
+        |_| None,
+        now,
+        &mut out,
+    );
+    balancer.message(agent_addr(1), announce(newer), |_| None, now, &mut out);
+    assert_eq!(resets(&out), 0);
+}
+
+// Guards against an older configuration from a slow source.
+#[test]
+fn generation_never_falls() {
+    let mut table = Table::default();
+    assert!(table.adopt(routes(5, &[("portal", 1)])));
+    assert!(!table.adopt(routes(4, &[("other", 1)])));
+    assert!(!table.adopt(routes(5, &[("other", 1)])));
+    assert_eq!(table.generation(), Generation(5));
+}
+
+// Guards against lookups that leave out the former service of an address.
+#[test]
+fn former_service_allowed() {
+    let mut table = Table::default();
+    table.adopt(routes(1, &[("portal", 1)]));
+    table.adopt(routes(2, &[("other", 1)]));
+    let address = addr("198.18.0.1:443");
+    assert!(table.allowed(&address, "portal"));
+    assert!(table.allowed(&address, "other"));
+    assert!(!table.allowed(&address, "third"));
+}
+
+// Guards against shares that differ from the weights.
+#[test]
+fn weights_honoured() {
+    let routes = routes(1, &[("portal", 90), ("other", 10)]);
+    let route = &routes.routes[0];
+    let count = (0..10_000)
+        .filter(|port| route.service(&flow(*port)) == "other")
+        .count();
+    assert!((800..1200).contains(&count), "{count}");
+}
+
+// Guards against new work at a draining server, and against flows of another service.
+#[test]
+fn not_accepting() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    let open = segment(flow(1), Kind::Open, 0);
+    let next = vec![agent_addr(2)];
+    let out = agent_gets(&mut agent, open, forward("other", next.clone(), false), now);
+    assert_eq!(delivered(&out), None);
+    let draining = heartbeat("a", 1, 2, State::Draining);
+    agent.heartbeat(draining, now, &mut Vec::new());
+    let out = agent_gets(&mut agent, open, forward("portal", next, false), now);
+    assert_eq!(delivered(&out), None);
+}
+
+// Guards against packets of an open flow that a draining server doesn't get.
+#[test]
+fn draining_keeps_flows() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    agent.heartbeat(heartbeat("a", 1, 2, State::Draining), now, &mut Vec::new());
+    let data = segment(flow(1), Kind::Data, 5);
+    let out = agent_gets(&mut agent, data, forward("", Vec::new(), true), now);
+    assert!(delivered(&out).is_some());
+}
+
+// Guards against a returned packet that is lost instead of going to the next candidate.
+#[test]
+fn returned_passed_on() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    let data = segment(flow(1), Kind::Data, 5);
+    let next = vec![agent_addr(2), agent_addr(3)];
+    let out = agent_gets(&mut agent, data, forward("", next, true), now);
+    let token = delivered(&out).unwrap();
+    let mut out = Vec::new();
+    agent.returned(data, token, vec![1], &mut out);
+    let to = out.iter().find_map(|output| match output {
+        agent::Output::Send(to, Message::Forward(forward)) => Some((*to, forward.candidates.len())),
+        _ => None,
+    });
+    assert_eq!(to, Some((agent_addr(2), 1)));
+
+    // A token is used once: the same packet can't be passed on twice.
+    let mut out = Vec::new();
+    agent.returned(data, token, vec![1], &mut out);
+    let sends = |output: &agent::Output| matches!(output, agent::Output::Send(..));
+    assert!(!out.iter().any(sends));
+}
+
+// Guards against queues that grow until every request is late.
+#[test]
+fn full_server_refuses() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    for port in 1..=2 {
+        let open = segment(flow(port), Kind::Open, 0);
+        let out = agent_gets(&mut agent, open, forward("portal", Vec::new(), false), now);
+        assert!(delivered(&out).is_some(), "flow {port}");
+        let data = segment(flow(port), Kind::Data, 5);
+        agent_gets(&mut agent, data, forward("", Vec::new(), false), now);
+    }
+    let open = segment(flow(3), Kind::Open, 0);
+    let out = agent_gets(&mut agent, open, forward("portal", Vec::new(), false), now);
+    assert_eq!(delivered(&out), None);
+}
+
+// Guards against a delayed heartbeat of an earlier server at the same address.
+#[test]
+fn late_heartbeat() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    let out = &mut Vec::new();
+    let newer = heartbeat("b", 9, 1, State::Ready);
+    assert_eq!(agent.heartbeat(newer.clone(), now, out), Outcome::Accepted);
+    assert_eq!(agent.heartbeat(newer, now, out), Outcome::Outdated);
+    let older = heartbeat("a", 1, 8, State::Draining);
+    assert_eq!(agent.heartbeat(older, now, out), Outcome::Outdated);
+    assert_eq!(agent.member().state, State::Ready);
+}
+
+// Guards against clients of a server that lost power, and against resets of flows that live on.
+#[test]
+fn snapshot_restored() {
+    let now = Instant::now();
+    let alive = ready_agent(now).member().process();
+    for (process, expected) in [(alive, 0), (member(9, "portal", State::Ready).process(), 1)] {
+        let mut agent = ready_agent(now);
+        let saved = Saved {
+            client: flow(1).source,
+            address: flow(1).destination,
+            acknowledged: 5,
+        };
+        let snapshot = Snapshot {
+            process,
+            flows: vec![saved],
+        };
+        let mut out = Vec::new();
+        agent.restore(snapshot, now, &mut out);
+        assert_eq!(agent_resets(&out), expected);
+    }
+}
