--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -471,7 +471,7 @@
                     self.reset(flow, sequence, &format!("balancer {index}"));
                 }
                 balancer::Output::Fetch(source) => self.fetch(index, source),
-                balancer::Output::Decision(_) => {}
+                balancer::Output::Note(_) | balancer::Output::Latency(_) => {}
             }
         }
     }
@@ -625,7 +625,7 @@
                     self.directory.snapshots.insert(from, snapshot);
                 }
                 agent::Output::Publish(_) | agent::Output::Save(_) => {}
-                agent::Output::Decision(_) => {}
+                agent::Output::Note(_) | agent::Output::Latency(_) => {}
             }
         }
     }
--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -10,6 +10,7 @@
 use crate::packet::{Flow, Protocol};
 
 use super::message::{Announce, Forward, Message, Owner};
+use super::note::{Note, Topic};
 use super::roster::{Member, Process, State};
 use super::segment::{Kind, Segment};
 
@@ -64,8 +65,10 @@
     Publish(Member),
     /// Store the open flows in the directory.
     Save(Snapshot),
-    /// A decision, as a log line.
-    Decision(String),
+    /// Record the time from a client's data to the first data of the answer.
+    Latency(Duration),
+    /// Log a decision or a change.
+    Note(Note),
 }
 
 /// The open flows of one server, kept in the directory. If the host loses power, the clients of
@@ -131,8 +134,8 @@
 struct Held {
     /// The server accepted the opening packet and the client confirmed it.
     open: bool,
-    /// The client waits for an answer.
-    busy: bool,
+    /// Since when the client waits for an answer.
+    waiting: Option<Instant>,
     /// Highest acknowledgement number from the client.
     acknowledged: u32,
     /// The server has no more data to send.
@@ -154,7 +157,7 @@
     fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
         Self {
             open: false,
-            busy: false,
+            waiting: None,
             acknowledged: 0,
             finished: false,
             origin,
@@ -246,9 +249,17 @@
         self.flows.len()
     }
 
+    /// Number of balancers known.
+    pub fn balancers(&self) -> usize {
+        self.balancers.len()
+    }
+
     /// Requests that wait for an answer.
     pub fn busy(&self) -> u32 {
-        self.flows.values().filter(|held| held.busy).count() as u32
+        self.flows
+            .values()
+            .filter(|held| held.waiting.is_some())
+            .count() as u32
     }
 
     /// Adds a balancer to announce to.
@@ -273,10 +284,10 @@
             return;
         };
         let alive = former.process == self.member.process();
-        out.push(Output::Decision(format!(
-            "event=snapshot_restored flows={} server_alive={alive}",
-            former.flows.len()
-        )));
+        out.push(note(
+            Topic::SnapshotRestored,
+            format!("flows={} server_alive={alive}", former.flows.len()),
+        ));
         for saved in former.flows {
             let flow = saved.flow();
             if !alive {
@@ -303,10 +314,13 @@
             heartbeat.server == self.member.server && heartbeat.started == self.member.started;
         let late = same && heartbeat.sequence <= self.server_sequence;
         if heartbeat.started < self.member.started || late {
-            out.push(Output::Decision(format!(
-                "event=heartbeat_ignored server={} started={} sequence={} reason=outdated",
-                heartbeat.server, heartbeat.started, heartbeat.sequence
-            )));
+            out.push(note(
+                Topic::HeartbeatIgnored,
+                format!(
+                    "server={} started={} sequence={} reason=outdated",
+                    heartbeat.server, heartbeat.started, heartbeat.sequence
+                ),
+            ));
             return Outcome::Outdated;
         }
         if !same && !self.member.server.is_empty() {
@@ -328,9 +342,10 @@
     /// The server says that it ends.
     pub fn left(&mut self, server: &str, now: Instant, out: &mut Vec<Output>) {
         if server != self.member.server {
-            out.push(Output::Decision(format!(
-                "event=leave_ignored server={server} reason=not_the_current_server"
-            )));
+            out.push(note(
+                Topic::HeartbeatIgnored,
+                format!("server={server} reason=not_the_current_server"),
+            ));
             return;
         }
         self.server_ended("left", out);
@@ -369,9 +384,10 @@
             | Message::Exhausted(_)
             | Message::Announce(_)
             | Message::Digest(_) => {
-                out.push(Output::Decision(format!(
-                    "event=message_ignored from={from} reason=not_for_an_agent"
-                )));
+                out.push(note(
+                    Topic::MessageIgnored,
+                    format!("from={from} reason=not_for_an_agent"),
+                ));
             }
         }
     }
@@ -413,7 +429,9 @@
                 .or_insert_with(|| Held::new(Some(forward.origin), now));
             held.acknowledged = segment.acknowledgement;
             held.seen = now;
-            held.busy |= segment.length > 0;
+            if segment.length > 0 {
+                held.waiting.get_or_insert(now);
+            }
             if forward.lookup {
                 held.origin = Some(forward.origin);
                 held.asked = !held.open;
@@ -460,19 +478,22 @@
         out: &mut Vec<Output>,
     ) {
         if forward.candidates.is_empty() {
-            out.push(Output::Decision(format!(
-                "decision=exhausted flow={} kind={} reason={reason}",
-                segment.flow, segment.kind
-            )));
+            out.push(note(
+                Topic::Exhausted,
+                format!(
+                    "flow={} kind={} reason={reason}",
+                    segment.flow, segment.kind
+                ),
+            ));
             out.push(Output::Send(forward.origin, Message::Exhausted(forward)));
             return;
         }
         let next = forward.candidates.remove(0);
         if segment.opens() {
-            out.push(Output::Decision(format!(
-                "decision=passed flow={} to={next} reason={reason}",
-                segment.flow
-            )));
+            out.push(note(
+                Topic::Passed,
+                format!("flow={} to={next} reason={reason}", segment.flow),
+            ));
         }
         out.push(Output::Send(next, Message::Forward(forward)));
     }
@@ -487,10 +508,13 @@
     ) {
         let slot = &mut self.pending[token as usize % PENDING_MAX];
         let Some(pending) = slot.take_if(|pending| pending.token == token) else {
-            out.push(Output::Decision(format!(
-                "decision=dropped flow={} reason=returned_too_late token={token}",
-                segment.flow
-            )));
+            out.push(note(
+                Topic::Dropped,
+                format!(
+                    "flow={} reason=returned_too_late token={token}",
+                    segment.flow
+                ),
+            ));
             return;
         };
         let held = self.flows.remove(&segment.flow);
@@ -528,7 +552,11 @@
         let accepted = (segment.kind == Kind::Accept).then_some(segment.sequence);
         if segment.kind != Kind::Accept {
             held.open = true;
-            held.busy &= segment.length == 0;
+            if segment.length > 0 {
+                if let Some(since) = held.waiting.take() {
+                    out.push(Output::Latency(now.saturating_duration_since(since)));
+                }
+            }
         }
         held.finished |= segment.kind == Kind::Finish;
         if accepted.is_some() || held.asked {
@@ -549,10 +577,10 @@
         let pause = now.saturating_duration_since(self.ticked);
         self.ticked = now;
         if pause > PAUSE {
-            out.push(Output::Decision(format!(
-                "event=resumed pause_ms={}",
-                pause.as_millis()
-            )));
+            out.push(note(
+                Topic::Resumed,
+                format!("pause_ms={}", pause.as_millis()),
+            ));
             self.heard = self.heard.map(|heard| heard + pause);
         }
         let silent = self.heard.is_some_and(|heard| {
@@ -631,10 +659,13 @@
             return;
         }
         member.sequence = Sequence(self.member.sequence.0 + 1);
-        out.push(Output::Decision(format!(
-            "event=server_state server={} service={} from={} to={} cause={cause}",
-            member.server, member.service, self.member.state, member.state
-        )));
+        out.push(note(
+            Topic::ServerState,
+            format!(
+                "server={} service={} from={} to={} cause={cause}",
+                member.server, member.service, self.member.state, member.state
+            ),
+        ));
         self.member = member;
         out.push(Output::Publish(self.member.clone()));
         self.announce(now, out);
@@ -653,9 +684,7 @@
     }
 
     fn reset(&self, flow: Flow, sequence: u32, reason: &str, out: &mut Vec<Output>) {
-        out.push(Output::Decision(format!(
-            "decision=reset flow={flow} reason={reason}"
-        )));
+        out.push(note(Topic::Reset, format!("flow={flow} reason={reason}")));
         out.push(Output::Reset { flow, sequence });
     }
 }
@@ -669,3 +698,7 @@
         accepted,
     }
 }
+
+fn note(topic: Topic, text: String) -> Output {
+    Output::Note(Note::new(topic, text))
+}
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -8,6 +8,7 @@
 use crate::packet::{Flow, Protocol};
 
 use super::message::{Announce, Digest, Forward, Message, Owner};
+use super::note::{Note, Topic};
 use super::roster::{Member, Process, Roster, State};
 use super::routes::{Routes, Table};
 use super::segment::Segment;
@@ -49,8 +50,10 @@
     },
     /// Fetch a newer configuration from a peer.
     Fetch(SocketAddr),
-    /// A decision, as a log line.
-    Decision(String),
+    /// Record the time from an opening packet to the report of its acceptance.
+    Latency(Duration),
+    /// Log a decision or a change.
+    Note(Note),
 }
 
 /// A flow that this balancer has forwarded.
@@ -66,6 +69,8 @@
     accepted: Vec<(u32, SocketAddr)>,
     /// Agents that got the opening packet.
     asked: Vec<SocketAddr>,
+    /// When the flow's first packet came.
+    since: Instant,
     /// Lookups sent since the owner was last known.
     lookups: u32,
     seen: Instant,
@@ -79,6 +84,7 @@
             acknowledged: 0,
             accepted: Vec::new(),
             asked: Vec::new(),
+            since: now,
             lookups: 0,
             seen: now,
         }
@@ -156,10 +162,13 @@
     pub fn configure(&mut self, routes: Routes, source: &str, out: &mut Vec<Output>) {
         let (generation, version, count) = (routes.generation, routes.version, routes.routes.len());
         if self.routes.adopt(routes) {
-            out.push(Output::Decision(format!(
-                "event=configuration_adopted generation={generation} version={version} \
+            out.push(note(
+                Topic::ConfigurationAdopted,
+                format!(
+                    "generation={generation} version={version} \
                  routes={count} source={source}"
-            )));
+                ),
+            ));
             self.digest_due = self.ticked;
         }
     }
@@ -242,7 +251,7 @@
         out: &mut Vec<Output>,
     ) {
         match message {
-            Message::Owner(owner) => self.owner(owner, now),
+            Message::Owner(owner) => self.owner(owner, now, out),
             Message::Announce(announce) => self.announce(announce, now, out),
             Message::Digest(digest) => self.digest(from, digest, now, out),
             Message::Exhausted(forward) => {
@@ -251,9 +260,10 @@
                 }
             }
             Message::Forward(_) | Message::Balancers(_) => {
-                out.push(Output::Decision(format!(
-                    "event=message_ignored from={from} reason=not_for_a_balancer"
-                )));
+                out.push(note(
+                    Topic::MessageIgnored,
+                    format!("from={from} reason=not_for_a_balancer"),
+                ));
             }
         }
     }
@@ -266,10 +276,10 @@
             for heard in self.peers.values_mut() {
                 *heard += pause;
             }
-            out.push(Output::Decision(format!(
-                "event=resumed pause_ms={}",
-                pause.as_millis()
-            )));
+            out.push(note(
+                Topic::Resumed,
+                format!("pause_ms={}", pause.as_millis()),
+            ));
         }
         self.ticked = now;
         self.hedge(now, out);
@@ -291,11 +301,14 @@
     /// configuration that this balancer hasn't seen yet.
     fn unroutable(&mut self, segment: Segment, out: &mut Vec<Output>) {
         if segment.opens() {
-            out.push(Output::Decision(format!(
-                "decision=dropped flow={} reason=no_route generation={}",
-                segment.flow,
-                self.routes.generation()
-            )));
+            out.push(note(
+                Topic::Dropped,
+                format!(
+                    "flow={} reason=no_route generation={}",
+                    segment.flow,
+                    self.routes.generation()
+                ),
+            ));
         }
     }
 
@@ -318,10 +331,13 @@
         let fresh = |agent: &&SocketAddr| !known.asked.contains(agent);
         let first = openers.iter().find(fresh).or(openers.first()).copied();
         let Some(first) = first else {
-            out.push(Output::Decision(format!(
-                "decision=dropped flow={flow} service={service} reason=no_server agents={}",
-                self.roster.len()
-            )));
+            out.push(note(
+                Topic::Dropped,
+                format!(
+                    "flow={flow} service={service} reason=no_server agents={}",
+                    self.roster.len()
+                ),
+            ));
             return;
         };
         if known.asked.is_empty() {
@@ -336,11 +352,14 @@
             .filter(|agent| !asked.contains(agent))
             .take(CANDIDATES_MAX)
             .collect();
-        out.push(Output::Decision(format!(
-            "decision=placed flow={flow} service={service} agent={first} copy={} generation={}",
-            segment.acknowledgement,
-            self.routes.generation()
-        )));
+        out.push(note(
+            Topic::Placed,
+            format!(
+                "flow={flow} service={service} agent={first} copy={} generation={}",
+                segment.acknowledgement,
+                self.routes.generation()
+            ),
+        ));
         self.roster.opened(&first);
         self.opening.push_back(Opening {
             flow,
@@ -375,13 +394,16 @@
                 continue;
             };
             known.asked.push(next);
-            out.push(Output::Decision(format!(
-                "decision=placed_again flow={} service={} agent={next} reason=no_acceptance \
+            out.push(note(
+                Topic::PlacedAgain,
+                format!(
+                    "flow={} service={} agent={next} reason=no_acceptance \
                  waited_ms={}",
-                opening.flow,
-                opening.service,
-                HEDGE_AFTER.as_millis()
-            )));
+                    opening.flow,
+                    opening.service,
+                    HEDGE_AFTER.as_millis()
+                ),
+            ));
             let rest = rest.take(CANDIDATES_MAX).collect();
             let (service, packet) = (opening.service.clone(), opening.packet.clone());
             opening.hedges += 1;
@@ -415,11 +437,14 @@
         known.lookups += 1;
         holders.rotate_left(skip);
         if known.lookups == 1 && asked.is_empty() {
-            out.push(Output::Decision(format!(
-                "decision=lookup flow={flow} first={} candidates={}",
-                holders[0],
-                holders.len()
-            )));
+            out.push(note(
+                Topic::Lookup,
+                format!(
+                    "flow={flow} first={} candidates={}",
+                    holders[0],
+                    holders.len()
+                ),
+            ));
         }
         let first = holders.remove(0);
         self.forward(first, holders, String::new(), true, complete, packet, out);
@@ -448,7 +473,7 @@
         out.push(Output::Send(to, Message::Forward(forward)));
     }
 
-    fn owner(&mut self, owner: Owner, now: Instant) {
+    fn owner(&mut self, owner: Owner, now: Instant, out: &mut Vec<Output>) {
         self.roster.heard(&owner.agent, now);
         let flow = Flow {
             protocol: Protocol::Tcp,
@@ -466,6 +491,10 @@
                 known.accepted.clear();
             }
             Some(sequence) => {
+                if known.process.is_none() {
+                    let latency = now.saturating_duration_since(known.since);
+                    out.push(Output::Latency(latency));
+                }
                 if known.accepted.is_empty() {
                     known.agent = owner.agent;
                 }
@@ -508,11 +537,14 @@
     }
 
     fn reset(&self, segment: Segment, reason: &str, out: &mut Vec<Output>) {
-        out.push(Output::Decision(format!(
-            "decision=reset flow={} reason={reason} agents={}",
-            segment.flow,
-            self.roster.len()
-        )));
+        out.push(note(
+            Topic::Reset,
+            format!(
+                "flow={} reason={reason} agents={}",
+                segment.flow,
+                self.roster.len()
+            ),
+        ));
         out.push(Output::Reset {
             flow: segment.flow,
             sequence: segment.acknowledgement,
@@ -531,7 +563,7 @@
 
     fn merge(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let line = format!(
-            "event=member agent={} service={} server={} state={} incarnation={} sequence={} \
+            "agent={} service={} server={} state={} incarnation={} sequence={} \
              direct={direct}",
             member.agent,
             member.service,
@@ -544,7 +576,7 @@
         let (agent, process) = (member.agent, member.process());
         let named = !member.server.is_empty();
         if self.roster.merge(member, direct, now) {
-            out.push(Output::Decision(line));
+            out.push(note(Topic::Member, line));
             if named {
                 self.end_flows(agent, (!ended).then_some(process), out);
             }
@@ -559,9 +591,10 @@
         };
         let ended: Vec<_> = self.flows.extract_if(|_, known| lost(known)).collect();
         for (flow, known) in ended {
-            out.push(Output::Decision(format!(
-                "decision=reset flow={flow} reason=server_ended agent={agent}"
-            )));
+            out.push(note(
+                Topic::Reset,
+                format!("flow={flow} reason=server_ended agent={agent}"),
+            ));
             out.push(Output::Reset {
                 flow,
                 sequence: known.acknowledged,
@@ -625,3 +658,7 @@
         balancers
     }
 }
+
+fn note(topic: Topic, text: String) -> Output {
+    Output::Note(Note::new(topic, text))
+}
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod message;
+pub mod note;
 pub mod roster;
 pub mod routes;
 pub mod segment;
