--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -1,6 +1,6 @@
 //! The agent's decisions: which packets its server gets, and what becomes of the others.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -26,10 +26,16 @@
 const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
 /// Balancers that send nothing for this long are forgotten.
 const FORGET_BALANCER_AFTER: Duration = Duration::from_secs(60);
-/// Time between saved snapshots of the open flows.
-const SAVE_EVERY: Duration = Duration::from_millis(2500);
-/// Flows younger than this are not saved: most of them end before it matters.
-const SAVE_AGE: Duration = Duration::from_secs(2);
+/// Time between checks whether a snapshot of the open flows is due.
+const SAVE_CHECK_EVERY: Duration = Duration::from_millis(500);
+/// Flows younger than this are not saved: flows of a single request have ended by then.
+const SAVE_AGE: Duration = Duration::from_millis(500);
+/// A snapshot is due when the flows that it lacks, times the time that they have been at risk, is
+/// this long: the fewer flows, the longer it waits.
+const SAVE_RISK: Duration = Duration::from_secs(4);
+/// A snapshot is due at the latest after this time, because clients accept a reset only near their
+/// last acknowledgement.
+const SAVE_EVERY: Duration = Duration::from_secs(10);
 /// Most flows in a snapshot, which keeps it far below the largest object of a directory.
 const SAVE_MAX: usize = 10_000;
 /// Times that a new flow is passed on by agents whose servers have all slots in use.
@@ -37,6 +43,9 @@
 /// Requests for each slot above which a server gets no new flows: one runs and one waits, so that
 /// the next one would wait for longer than it runs.
 const REQUESTS_PER_SLOT: u32 = 2;
+/// A request without an answer for this long no longer counts as work at the server: most clients
+/// have given it up, and the answer or the end of the flow may have been lost.
+const ABANDONED_AFTER: Duration = Duration::from_secs(2);
 /// Heartbeat periods without a heartbeat after which the server gets no new flows.
 const SILENT_PERIODS: u32 = 3;
 
@@ -136,6 +145,8 @@
     open: bool,
     /// Since when the client waits for an answer.
     waiting: Option<Instant>,
+    /// Sequence number after the client's last data.
+    sent: Option<u32>,
     /// Highest acknowledgement number from the client.
     acknowledged: u32,
     /// The server has no more data to send.
@@ -149,6 +160,22 @@
 }
 
 impl Held {
+    /// Records a client's packet that may carry a request. A repeated one carries nothing new.
+    fn asks(&mut self, segment: &Segment, now: Instant) {
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        let new = |sent: u32| (end.wrapping_sub(sent) as i32) > 0;
+        if segment.length > 0 && self.sent.is_none_or(new) {
+            self.sent = Some(end);
+            self.waiting = Some(now);
+        }
+    }
+
+    /// Whether a request is at the server whose client still waits.
+    fn busy(&self, now: Instant) -> bool {
+        let waits = |since| now.saturating_duration_since(since) < ABANDONED_AFTER;
+        self.waiting.is_some_and(waits)
+    }
+
     /// Whether more requests may come on the flow.
     fn lasts(&self) -> bool {
         self.open && !self.finished
@@ -158,6 +185,7 @@
         Self {
             open: false,
             waiting: None,
+            sent: None,
             acknowledged: 0,
             finished: false,
             origin,
@@ -195,9 +223,12 @@
     balancers: HashMap<SocketAddr, Instant>,
     announce_due: Instant,
     expire_due: Instant,
+    save_check: Instant,
     save_due: Instant,
     /// Clients' ends in the last snapshot.
-    saved: Vec<SocketAddr>,
+    saved: HashSet<SocketAddr>,
+    /// Flows missing in the last snapshot, times the time since each was found missing.
+    risk: Duration,
     /// Snapshot of an earlier run whose server isn't known to live on or to have ended yet.
     former: Option<Snapshot>,
     ticked: Instant,
@@ -232,8 +263,10 @@
             balancers: HashMap::new(),
             announce_due: now,
             expire_due: now,
+            save_check: now,
             save_due: now + SAVE_EVERY,
-            saved: Vec::new(),
+            saved: HashSet::new(),
+            risk: Duration::ZERO,
             former: None,
             ticked: now,
         }
@@ -255,11 +288,13 @@
     }
 
     /// Requests that wait for an answer.
-    pub fn busy(&self) -> u32 {
-        self.flows
-            .values()
-            .filter(|held| held.waiting.is_some())
-            .count() as u32
+    pub fn busy(&self, now: Instant) -> u32 {
+        self.flows.values().filter(|held| held.busy(now)).count() as u32
+    }
+
+    /// Sets the time between the server's heartbeats.
+    pub fn expect_heartbeats(&mut self, every: Duration) {
+        self.heartbeat_every = every;
     }
 
     /// Adds a balancer to announce to.
@@ -412,9 +447,9 @@
                 self.pass(segment, forward, "not_accepting", out);
                 return;
             }
-            let busy = self.busy() >= self.member.slots.0;
+            let busy = self.busy(now) >= self.member.slots.0;
             let others = forward.passes < PASSES_MAX && !forward.candidates.is_empty();
-            if !held && (self.full(&segment) || busy && others) {
+            if !held && (self.full(&segment, now) || busy && others) {
                 forward.passes += 1;
                 self.pass(segment, forward, "busy", out);
                 return;
@@ -429,9 +464,7 @@
                 .or_insert_with(|| Held::new(Some(forward.origin), now));
             held.acknowledged = segment.acknowledgement;
             held.seen = now;
-            if segment.length > 0 {
-                held.waiting.get_or_insert(now);
-            }
+            held.asks(&segment, now);
             if forward.lookup {
                 held.origin = Some(forward.origin);
                 held.asked = !held.open;
@@ -463,10 +496,10 @@
 
     /// Whether the server has too many requests for another flow. A copy of an opening packet
     /// belongs to a request that is late already, so it gets a slot only if one is free.
-    fn full(&self, segment: &Segment) -> bool {
+    fn full(&self, segment: &Segment, now: Instant) -> bool {
         let copy = segment.acknowledgement > 0;
         let limit = if copy { 1 } else { REQUESTS_PER_SLOT };
-        self.busy() >= limit * self.member.slots.0
+        self.busy(now) >= limit * self.member.slots.0
     }
 
     /// Gives a packet that the server doesn't take to the next candidate.
@@ -592,8 +625,8 @@
         if now >= self.announce_due {
             self.announce(now, out);
         }
-        if now >= self.save_due {
-            self.save_due = now + SAVE_EVERY;
+        if now >= self.save_check {
+            self.save_check = now + SAVE_CHECK_EVERY;
             self.save(now, out);
         }
         if now >= self.expire_due {
@@ -605,17 +638,22 @@
         }
     }
 
-    /// Saves the open flows if others than last time are open.
+    /// Saves the open flows if too many are missing in the last snapshot for too long.
     fn save(&mut self, now: Instant, out: &mut Vec<Output>) {
         if self.former.is_some() || self.member.server.is_empty() {
             return;
         }
         let lasting =
             |held: &Held| held.lasts() && now.saturating_duration_since(held.since) >= SAVE_AGE;
-        let mut flows: Vec<_> = self
-            .flows
-            .iter()
-            .filter(|(_, held)| lasting(held))
+        let open = self.flows.iter().filter(|(_, held)| lasting(held));
+        let missing = open
+            .clone()
+            .filter(|(flow, _)| !self.saved.contains(&flow.source));
+        self.risk += SAVE_CHECK_EVERY * missing.count() as u32;
+        if self.risk < SAVE_RISK && now < self.save_due {
+            return;
+        }
+        let mut flows: Vec<_> = open
             .map(|(flow, held)| Saved {
                 client: flow.source,
                 address: flow.destination,
@@ -624,11 +662,12 @@
             .collect();
         flows.sort_unstable();
         flows.truncate(SAVE_MAX);
-        let clients: Vec<_> = flows.iter().map(|saved| saved.client).collect();
-        if clients == self.saved {
+        self.save_due = now + SAVE_EVERY;
+        self.risk = Duration::ZERO;
+        if flows.is_empty() && self.saved.is_empty() {
             return;
         }
-        self.saved = clients;
+        self.saved = flows.iter().map(|saved| saved.client).collect();
         out.push(Output::Save(Snapshot {
             process: self.member.process(),
             flows,
@@ -639,7 +678,7 @@
         self.announce_due = now + ANNOUNCE_EVERY;
         let announce = Announce {
             member: self.member.clone(),
-            busy: self.busy(),
+            busy: self.busy(now),
             flows: self.flows.values().filter(|held| held.lasts()).count() as u32,
             balancers: self.balancers.len() as u32,
         };
@@ -673,6 +712,7 @@
 
     /// Resets the flows of a server that has ended.
     fn server_ended(&mut self, cause: &str, out: &mut Vec<Output>) {
+        self.saved.clear();
         let flows: Vec<_> = self
             .flows
             .drain()
@@ -694,7 +734,7 @@
         client: flow.source,
         address: flow.destination,
         agent: member.agent,
-        process: member.process(),
+        process: (!member.server.is_empty()).then(|| member.process()),
         accepted,
     }
 }
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -33,7 +33,7 @@
 /// Peers not heard for this long are forgotten.
 const FORGET_PEER_AFTER: Duration = Duration::from_secs(60);
 /// Time after the start before a search without a result counts as evidence that a flow's server
-/// is gone: agents missing from the directory have announced themselves by then.
+/// is gone.
 const LEARN_TIME: Duration = Duration::from_millis(600);
 
 /// What the shell has to do.
@@ -61,7 +61,9 @@
 struct Known {
     /// The agent that gets the flow's packets.
     agent: SocketAddr,
-    /// The server that accepted the flow, once the agent has said so.
+    /// Whether the agent said that its server holds the flow.
+    confirmed: bool,
+    /// The server's process, if the agent named it.
     process: Option<Process>,
     /// Highest acknowledgement number from the client.
     acknowledged: u32,
@@ -80,6 +82,7 @@
     fn new(agent: SocketAddr, now: Instant) -> Self {
         Self {
             agent,
+            confirmed: false,
             process: None,
             acknowledged: 0,
             accepted: Vec::new(),
@@ -228,7 +231,7 @@
                 known.agent = *agent;
                 known.accepted.clear();
             }
-            let (agent, confirmed) = (known.agent, known.process.is_some());
+            let (agent, confirmed) = (known.agent, known.confirmed);
             let gone = self
                 .roster
                 .get(&agent)
@@ -384,7 +387,7 @@
             let Some(known) = self.flows.get_mut(&opening.flow) else {
                 continue;
             };
-            if known.process.is_some() || opening.hedges >= HEDGES_MAX {
+            if known.confirmed || opening.hedges >= HEDGES_MAX {
                 continue;
             }
             let openers = self.roster.openers(&opening.service, &opening.flow, now);
@@ -419,7 +422,9 @@
         let routes = &self.routes;
         let likely = |service: &str| routes.allowed(&flow.destination, service);
         let mut holders = self.roster.holders(likely, &flow, now);
-        let complete = holders.len() <= CANDIDATES_MAX;
+        // Agents missing in the directory have announced themselves by then.
+        let learned = self.listed && now.saturating_duration_since(self.started) > LEARN_TIME;
+        let complete = learned && holders.len() <= CANDIDATES_MAX;
         holders.truncate(CANDIDATES_MAX);
         if holders.is_empty() {
             return;
@@ -491,7 +496,7 @@
                 known.accepted.clear();
             }
             Some(sequence) => {
-                if known.process.is_none() {
+                if !known.confirmed {
                     let latency = now.saturating_duration_since(known.since);
                     out.push(Output::Latency(latency));
                 }
@@ -501,7 +506,8 @@
                 known.accepted.push((sequence, owner.agent));
             }
         }
-        known.process = Some(owner.process);
+        known.confirmed = true;
+        known.process = owner.process;
     }
 
     /// No candidate took the packet.
@@ -515,7 +521,7 @@
         let flow = segment.flow;
         if segment.opens() {
             // Another agent that was asked may still accept the flow.
-            let only = |known: &Known| known.process.is_none() && known.asked.len() <= 1;
+            let only = |known: &Known| !known.confirmed && known.asked.len() <= 1;
             if self.flows.get(&flow).is_some_and(only) {
                 self.flows.remove(&flow);
                 self.reset(segment, "no_server_accepts", out);
@@ -524,13 +530,12 @@
         }
         if !forward.lookup {
             if let Some(known) = self.flows.get_mut(&flow) {
-                known.process = None;
+                known.confirmed = false;
             }
             self.lookup(segment, forward.packet.clone(), now, out);
             return;
         }
-        let learned = self.listed && now.saturating_duration_since(self.started) > LEARN_TIME;
-        if forward.complete && learned {
+        if forward.complete {
             self.flows.remove(&flow);
             self.reset(segment, "no_server_holds_it", out);
         }
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -54,8 +54,8 @@
     pub address: SocketAddr,
     /// The agent.
     pub agent: SocketAddr,
-    /// The server's process that holds it.
-    pub process: Process,
+    /// The server's process that holds it, unless the agent has not heard from it yet.
+    pub process: Option<Process>,
     /// Sequence number of the server's acceptance, if the flow is being opened.
     pub accepted: Option<u32>,
 }
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -230,18 +230,15 @@
     let later = now + Duration::from_secs(1);
     let mut balancer = balancer(2, now);
     let data = segment(flow(1), Kind::Data, 5);
-    let message = Message::Exhausted(forward("", Vec::new(), true));
-    let mut out = Vec::new();
-    balancer.message(
-        agent_addr(1),
-        message.clone(),
-        decode_as(data),
-        now,
-        &mut out,
-    );
-    assert_eq!(resets(&out), 0, "too early");
-    balancer.message(agent_addr(1), message, decode_as(data), later, &mut out);
-    assert_eq!(resets(&out), 1);
+    for (at, expected) in [(now, 0), (later, 1)] {
+        let mut out = Vec::new();
+        balancer.packet(data, vec![0], at, &mut out);
+        let searched = forwards(&out).remove(0).1;
+        out.clear();
+        let message = Message::Exhausted(searched);
+        balancer.message(agent_addr(1), message, decode_as(data), at, &mut out);
+        assert_eq!(resets(&out), expected);
+    }
 }
 
 // Guards against searches that end at a host that has gone for good.
@@ -305,7 +302,7 @@
             client: flow(1).source,
             address: flow(1).destination,
             agent: agent_addr(1),
-            process,
+            process: Some(process),
             accepted: Some(9),
         })
     };
@@ -482,3 +479,98 @@
         assert_eq!(agent_resets(&out), expected);
     }
 }
+
+// Guards against a balancer that searches among the few agents it knows so far and takes the
+// answer for final because it has learned of the others meanwhile.
+#[test]
+fn early_lookup_incomplete() {
+    let now = Instant::now();
+    let mut balancer = Balancer::new(addr("10.0.0.1:7720"), now);
+    let mut out = Vec::new();
+    balancer.configure(routes(1, &[("portal", 1)]), "test", &mut out);
+    let announce = Announce {
+        member: member(1, "portal", State::Ready),
+        busy: 0,
+        flows: 0,
+        balancers: 1,
+    };
+    let message = Message::Announce(announce);
+    balancer.message(agent_addr(1), message, |_| None, now, &mut out);
+    out.clear();
+    let data = segment(flow(1), Kind::Data, 5);
+    balancer.packet(data, vec![0], now, &mut out);
+    assert!(!forwards(&out)[0].1.complete);
+}
+
+// Guards against resets of flows whose agent restarted and doesn't know its server's name yet.
+#[test]
+fn unnamed_server() {
+    let now = Instant::now();
+    let mut agent = Agent::new(
+        agent_addr(1),
+        "portal".into(),
+        Incarnation(2),
+        Duration::from_millis(770),
+        now,
+    );
+    let data = segment(flow(1), Kind::Data, 5);
+    agent_gets(&mut agent, data, forward("", Vec::new(), true), now);
+    let mut out = Vec::new();
+    agent.outbound(data, vec![1], now, &mut out);
+    let owner = out.into_iter().find_map(|output| match output {
+        agent::Output::Send(_, message @ Message::Owner(_)) => Some(message),
+        _ => None,
+    });
+
+    let mut balancer = balancer(1, now);
+    let mut out = Vec::new();
+    balancer.message(agent_addr(1), owner.unwrap(), |_| None, now, &mut out);
+    let mut member = member(1, "portal", State::Ready);
+    member.incarnation = Incarnation(2);
+    let message = Message::Announce(Announce {
+        member,
+        busy: 0,
+        flows: 0,
+        balancers: 1,
+    });
+    balancer.message(agent_addr(1), message, |_| None, now, &mut out);
+    assert_eq!(resets(&out), 0);
+}
+
+// Guards against requests whose clients have gone and that count as busy for good: a cut of 5 s
+// left agents that refused every new flow.
+#[test]
+fn abandoned_requests() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    for port in 1..=2 {
+        let open = segment(flow(port), Kind::Open, 0);
+        agent_gets(&mut agent, open, forward("portal", Vec::new(), false), now);
+        let data = segment(flow(port), Kind::Data, 5);
+        agent_gets(&mut agent, data, forward("", Vec::new(), false), now);
+    }
+    let later = now + Duration::from_secs(6);
+    let open = segment(flow(3), Kind::Open, 0);
+    let out = agent_gets(
+        &mut agent,
+        open,
+        forward("portal", Vec::new(), false),
+        later,
+    );
+    assert!(delivered(&out).is_some());
+}
+
+// Guards against a repeated packet of an answered request that counts as another request.
+#[test]
+fn repeated_data() {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    let open = segment(flow(1), Kind::Open, 0);
+    agent_gets(&mut agent, open, forward("portal", Vec::new(), false), now);
+    let data = segment(flow(1), Kind::Data, 5);
+    agent_gets(&mut agent, data, forward("", Vec::new(), false), now);
+    assert_eq!(agent.busy(now), 1);
+    agent.outbound(data, vec![1], now, &mut Vec::new());
+    agent_gets(&mut agent, data, forward("", Vec::new(), false), now);
+    assert_eq!(agent.busy(now), 0);
+}
