--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -9,7 +9,7 @@
 
 use super::message::{Announce, Digest, Forward, Message, Owner};
 use super::note::{Note, Topic};
-use super::roster::{Member, Process, Roster, State};
+use super::roster::{Entry, Member, Process, Roster, State};
 use super::routes::{Routes, Table};
 use super::segment::Segment;
 
@@ -36,6 +36,12 @@
 /// is gone.
 const LEARN_TIME: Duration = Duration::from_millis(600);
 
+/// A balancer that hears none of its agents for this long is cut off from them: two announcements
+/// of each are missing.
+const ISOLATED_AFTER: Duration = Duration::from_millis(900);
+/// Fewer agents than this may be silent because they have failed themselves.
+const ISOLATED_AGENTS: usize = 3;
+
 /// What the shell has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
@@ -56,6 +62,14 @@
     Note(Note),
 }
 
+/// A server's acceptance of a flow.
+#[derive(Clone, Copy, Debug)]
+struct Acceptance {
+    sequence: u32,
+    agent: SocketAddr,
+    process: Option<Process>,
+}
+
 /// A flow that this balancer has forwarded.
 #[derive(Debug)]
 struct Known {
@@ -68,7 +82,7 @@
     /// Highest acknowledgement number from the client.
     acknowledged: u32,
     /// Acceptances by sequence number, while several servers may have accepted the flow.
-    accepted: Vec<(u32, SocketAddr)>,
+    accepted: Vec<Acceptance>,
     /// Agents that got the opening packet.
     asked: Vec<SocketAddr>,
     /// When the flow's first packet came.
@@ -94,6 +108,25 @@
     }
 }
 
+impl Known {
+    /// Keeps the acceptance that the client's acknowledgement answers.
+    fn choose(&mut self, acknowledgement: u32) {
+        let answers = |a: &&Acceptance| a.sequence.wrapping_add(1) == acknowledgement;
+        if let Some(acceptance) = self.accepted.iter().find(answers) {
+            self.agent = acceptance.agent;
+            self.process = acceptance.process;
+            self.accepted.clear();
+        }
+    }
+
+    /// Takes an agent for the flow's owner.
+    fn own(&mut self, agent: SocketAddr, process: Option<Process>) {
+        self.agent = agent;
+        self.process = process;
+        self.confirmed = true;
+    }
+}
+
 /// An opening packet whose acceptance is awaited.
 #[derive(Debug)]
 struct Opening {
@@ -141,9 +174,18 @@
         }
     }
 
-    /// Whether the balancer can serve: it has a configuration and knows agents.
+    /// Whether the balancer can serve: it has a configuration, knows agents and hears them.
     pub fn ready(&self) -> bool {
-        self.routes.generation() > Generation(0) && (self.listed || !self.roster.is_empty())
+        let informed = self.listed || !self.roster.is_empty();
+        self.routes.generation() > Generation(0) && informed && !self.isolated()
+    }
+
+    /// Whether all agents that this balancer has heard before are silent.
+    fn isolated(&self) -> bool {
+        let heard = |entry: &Entry| entry.direct.then_some(entry.heard);
+        let heard: Vec<_> = self.roster.iter().filter_map(heard).collect();
+        let silent = |last| self.ticked.saturating_duration_since(last) > ISOLATED_AFTER;
+        heard.len() >= ISOLATED_AGENTS && heard.into_iter().max().is_some_and(silent)
     }
 
     /// Generation of the configuration in force.
@@ -223,14 +265,7 @@
         if let Some(known) = self.flows.get_mut(&flow) {
             known.seen = now;
             known.acknowledged = segment.acknowledgement;
-            if let Some((_, agent)) = known
-                .accepted
-                .iter()
-                .find(|(sequence, _)| sequence.wrapping_add(1) == segment.acknowledgement)
-            {
-                known.agent = *agent;
-                known.accepted.clear();
-            }
+            known.choose(segment.acknowledgement);
             let (agent, confirmed) = (known.agent, known.confirmed);
             let gone = self
                 .roster
@@ -490,24 +525,23 @@
             .entry(flow)
             .or_insert_with(|| Known::new(owner.agent, now));
         known.lookups = 0;
-        match owner.accepted {
-            None => {
-                known.agent = owner.agent;
-                known.accepted.clear();
-            }
-            Some(sequence) => {
-                if !known.confirmed {
-                    let latency = now.saturating_duration_since(known.since);
-                    out.push(Output::Latency(latency));
-                }
-                if known.accepted.is_empty() {
-                    known.agent = owner.agent;
-                }
-                known.accepted.push((sequence, owner.agent));
-            }
+        let Some(sequence) = owner.accepted else {
+            known.own(owner.agent, owner.process);
+            known.accepted.clear();
+            return;
+        };
+        if !known.confirmed {
+            let latency = now.saturating_duration_since(known.since);
+            out.push(Output::Latency(latency));
         }
-        known.confirmed = true;
-        known.process = owner.process;
+        if known.accepted.is_empty() {
+            known.own(owner.agent, owner.process);
+        }
+        known.accepted.push(Acceptance {
+            sequence,
+            agent: owner.agent,
+            process: owner.process,
+        });
     }
 
     /// No candidate took the packet.
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -11,6 +11,7 @@
 use flamingofall::steering::roster::{Member, Roster, State, LOST_AFTER, SUSPECT_AFTER};
 use flamingofall::steering::routes::{Repeat, Route, Routes, Table, Target};
 use flamingofall::steering::segment::{Kind, Segment};
+use yare::parameterized;
 
 fn addr(text: &str) -> SocketAddr {
     text.parse().unwrap()
@@ -574,3 +575,76 @@
     agent_gets(&mut agent, data, forward("", Vec::new(), false), now);
     assert_eq!(agent.busy(now), 0);
 }
+
+// Guards against a reset of a flow that two servers accepted, when the one that the client didn't
+// choose ends.
+#[parameterized(
+    first = { 101, 1 },
+    second = { 201, 2 },
+)]
+fn two_acceptances(acknowledgement: u32, chosen: u8) {
+    let now = Instant::now();
+    let mut balancer = balancer(2, now);
+    let mut out = Vec::new();
+    for (index, sequence) in [(1, 100), (2, 200)] {
+        let owner = Message::Owner(flamingofall::steering::message::Owner {
+            client: flow(1).source,
+            address: flow(1).destination,
+            agent: agent_addr(index),
+            process: Some(member(index, "portal", State::Ready).process()),
+            accepted: Some(sequence),
+        });
+        balancer.message(agent_addr(index), owner, |_| None, now, &mut out);
+    }
+    let acknowledged = segment(flow(1), Kind::Data, acknowledgement);
+    out.clear();
+    balancer.packet(acknowledged, vec![0], now, &mut out);
+    assert_eq!(forwards(&out)[0].0, agent_addr(chosen));
+
+    for index in 1..=2 {
+        let mut member = member(index, "portal", State::Waiting);
+        member.sequence = Sequence(2);
+        let announce = Message::Announce(Announce {
+            member,
+            busy: 0,
+            flows: 0,
+            balancers: 1,
+        });
+        out.clear();
+        balancer.message(agent_addr(index), announce, |_| None, now, &mut out);
+        assert_eq!(resets(&out), 0, "agent {index}");
+    }
+}
+
+// Guards against a balancer that keeps its clients though it is cut off from all agents.
+#[test]
+fn isolated_not_ready() {
+    let now = Instant::now();
+    let mut balancer = balancer(4, now);
+    let mut out = Vec::new();
+    assert!(balancer.ready());
+    let mut at = now;
+    let mut play = |balancer: &mut Balancer, steps: u32, heard: bool| {
+        for _ in 0..steps {
+            at += balancer::TICK;
+            balancer.tick(at, &mut out);
+            for index in 1..=4 {
+                let announce = Message::Announce(Announce {
+                    member: member(index, "portal", State::Ready),
+                    busy: 0,
+                    flows: 0,
+                    balancers: 1,
+                });
+                if heard {
+                    balancer.message(agent_addr(index), announce, |_| None, at, &mut out);
+                }
+            }
+        }
+    };
+    play(&mut balancer, 10, true);
+    assert!(balancer.ready());
+    play(&mut balancer, 60, false);
+    assert!(!balancer.ready());
+    play(&mut balancer, 2, true);
+    assert!(balancer.ready());
+}
