--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -286,12 +286,12 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::ClientPacket(packet) => self.client_packet(packet),
-            Event::ToBalancer(index, from, bytes) => self.to_balancer(index, from, &bytes),
-            Event::ToAgent(index, from, bytes) => self.to_agent(index, from, &bytes),
-            Event::ToServer(index, token, packet) => self.to_server(index, token, packet),
-            Event::FromServer(index, token, packet) => self.from_server(index, token, packet),
+            Event::ToBalancer(index, from, bytes) => self.balancer_receives(index, from, &bytes),
+            Event::ToAgent(index, from, bytes) => self.agent_receives(index, from, &bytes),
+            Event::ToServer(index, token, packet) => self.server_receives(index, token, packet),
+            Event::FromServer(index, token, packet) => self.server_sends(index, token, packet),
             Event::Worked(index, name, packet) => self.worked(index, &name, &packet),
-            Event::ToClient(packet) => self.to_client(&packet),
+            Event::ToClient(packet) => self.client_receives(&packet),
             Event::ClientTimer(index) => self.client_timer(index),
             Event::Ask(index) => self.ask(index),
             Event::TickBalancer(index) => self.tick_balancer(index),
@@ -367,7 +367,7 @@
         self.client_did(index, asked, packets, outcome);
     }
 
-    fn to_client(&mut self, packet: &Packet) {
+    fn client_receives(&mut self, packet: &Packet) {
         let Some(index) = Client::index(packet.client) else {
             return;
         };
@@ -451,7 +451,7 @@
         self.balancer_outputs(index, out);
     }
 
-    fn to_balancer(&mut self, index: usize, from: SocketAddr, bytes: &[u8]) {
+    fn balancer_receives(&mut self, index: usize, from: SocketAddr, bytes: &[u8]) {
         let now = self.instant();
         let mut out = Vec::new();
         match (Message::decode(bytes), &mut self.gates[index].core) {
@@ -586,7 +586,7 @@
         self.agent_outputs(index, out);
     }
 
-    fn to_agent(&mut self, index: usize, from: SocketAddr, bytes: &[u8]) {
+    fn agent_receives(&mut self, index: usize, from: SocketAddr, bytes: &[u8]) {
         let now = self.instant();
         let mut out = Vec::new();
         match (Message::decode(bytes), &mut self.hosts[index].core) {
@@ -678,7 +678,7 @@
         self.hosts[index].core = None;
     }
 
-    fn to_server(&mut self, index: usize, token: u32, packet: Packet) {
+    fn server_receives(&mut self, index: usize, token: u32, packet: Packet) {
         self.judge(index, &packet);
         let Some(server) = &mut self.hosts[index].server else {
             return;
@@ -759,7 +759,7 @@
         self.effects(index, None, effects);
     }
 
-    fn from_server(&mut self, index: usize, token: Option<u32>, packet: Packet) {
+    fn server_sends(&mut self, index: usize, token: Option<u32>, packet: Packet) {
         let now = self.instant();
         let mut out = Vec::new();
         if let Some(core) = &mut self.hosts[index].core {
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use rand::seq::SliceRandom;
+
 use crate::id::Generation;
 use crate::packet::{Flow, Protocol};
 
@@ -233,7 +235,7 @@
         for peer in balancers {
             self.meet(peer, now);
         }
-        self.greet_agents(now, out);
+        self.greet_agents(out);
         self.digest_due = now;
     }
 
@@ -272,7 +274,8 @@
                 .get(&agent)
                 .is_none_or(|entry| entry.member.state == State::Gone);
             if confirmed && !gone {
-                self.forward(agent, Vec::new(), String::new(), false, false, packet, out);
+                let forward = self.forward(packet, Vec::new());
+                out.push(Output::Send(agent, Message::Forward(forward)));
                 return;
             }
         }
@@ -406,7 +409,9 @@
             hedges: 0,
             due: now + HEDGE_AFTER,
         });
-        self.forward(first, rest, service, false, false, packet, out);
+        let mut forward = self.forward(packet, rest);
+        forward.service = service;
+        out.push(Output::Send(first, Message::Forward(forward)));
     }
 
     /// Gives opening packets without an answer to another agent.
@@ -447,7 +452,9 @@
             opening.hedges += 1;
             opening.due = now + HEDGE_AFTER;
             self.opening.push_back(opening);
-            self.forward(next, rest, service, false, false, packet, out);
+            let mut forward = self.forward(packet, rest);
+            forward.service = service;
+            out.push(Output::Send(next, Message::Forward(forward)));
         }
     }
 
@@ -487,30 +494,23 @@
             ));
         }
         let first = holders.remove(0);
-        self.forward(first, holders, String::new(), true, complete, packet, out);
+        let mut forward = self.forward(packet, holders);
+        forward.lookup = true;
+        forward.complete = complete;
+        out.push(Output::Send(first, Message::Forward(forward)));
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn forward(
-        &self,
-        to: SocketAddr,
-        candidates: Vec<SocketAddr>,
-        service: String,
-        lookup: bool,
-        complete: bool,
-        packet: Vec<u8>,
-        out: &mut Vec<Output>,
-    ) {
-        let forward = Forward {
-            service,
+    /// A packet on its way, for an open flow whose agent is known unless the caller changes that.
+    fn forward(&self, packet: Vec<u8>, candidates: Vec<SocketAddr>) -> Forward {
+        Forward {
+            service: String::new(),
             origin: self.address,
-            lookup,
+            lookup: false,
             candidates,
             passes: 0,
-            complete,
+            complete: false,
             packet,
-        };
-        out.push(Output::Send(to, Message::Forward(forward)));
+        }
     }
 
     fn owner(&mut self, owner: Owner, now: Instant, out: &mut Vec<Output>) {
@@ -676,7 +676,6 @@
             source: self.address,
         };
         let mut peers: Vec<_> = self.peers.keys().copied().collect();
-        use rand::seq::SliceRandom;
         peers.shuffle(&mut rand::rng());
         for peer in peers.into_iter().take(DIGEST_FANOUT) {
             out.push(Output::Send(peer, Message::Digest(digest.clone())));
@@ -684,7 +683,7 @@
     }
 
     /// Tells all agents which balancers there are.
-    fn greet_agents(&self, _now: Instant, out: &mut Vec<Output>) {
+    fn greet_agents(&self, out: &mut Vec<Output>) {
         for entry in self.roster.iter() {
             let message = Message::Balancers(self.balancers());
             out.push(Output::Send(entry.member.agent, message));
