--- a/src/collector.rs
+++ b/src/collector.rs
@@ -423,7 +423,7 @@
     ) -> bool {
         let misplaced = || !is_collector(&view.table, &view.me(), record);
         let changed = now.duration_since(self.balancers_changed) < LIST_PERIOD;
-        let regular = heartbeat.id % LIST_INTERVAL == 0 || heartbeat.members_version == 0;
+        let regular = heartbeat.id.is_multiple_of(LIST_INTERVAL) || heartbeat.members_version == 0;
         record.role == Role::Agent && (changed || regular || misplaced())
     }
 
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -543,9 +543,9 @@
         let millis = self.0.as_millis();
         match millis {
             0 => write!(f, "0s"),
-            _ if millis % 3_600_000 == 0 => write!(f, "{}h", millis / 3_600_000),
-            _ if millis % 60_000 == 0 => write!(f, "{}m", millis / 60_000),
-            _ if millis % 1_000 == 0 => write!(f, "{}s", millis / 1_000),
+            _ if millis.is_multiple_of(3_600_000) => write!(f, "{}h", millis / 3_600_000),
+            _ if millis.is_multiple_of(60_000) => write!(f, "{}m", millis / 60_000),
+            _ if millis.is_multiple_of(1_000) => write!(f, "{}s", millis / 1_000),
             _ => write!(f, "{millis}ms"),
         }
     }
--- a/tests/convert.rs
+++ b/tests/convert.rs
@@ -22,7 +22,7 @@
         slots: Slots(small[0]),
         connections: Connections(small[1]),
         generation: Generation(numbers[0] ^ numbers[1]),
-        open_flows: (agent && small[0] % 2 == 0).then_some(small[1]),
+        open_flows: (agent && small[0].is_multiple_of(2)).then_some(small[1]),
     }
 }
 
