--- a/emulator/src/directory.rs
+++ b/emulator/src/directory.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use flamingofall::steering::agent::Snapshot;
 use flamingofall::steering::roster::Member;
 use flamingofall::steering::routes::Routes;
+use flamingofall::steering::snapshot::Snapshot;
 
 /// What the directory holds.
 #[derive(Debug, Default)]
--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -5,14 +5,14 @@
 use std::time::{Duration, Instant};
 
 use crate::id::{Incarnation, Sequence, Slots};
-use serde::{Deserialize, Serialize};
-
-use crate::packet::{Flow, Protocol};
+use crate::packet::Flow;
 
+use super::held::Held;
 use super::message::{Announce, Forward, Message, Owner};
 use super::note::{Note, Topic};
-use super::roster::{Member, Process, State};
+use super::roster::{Member, State};
 use super::segment::{Kind, Segment};
+use super::snapshot::{Saved, Snapshot};
 
 /// How often [`Agent::tick`] is meant to be called.
 pub const TICK: Duration = Duration::from_millis(50);
@@ -43,9 +43,6 @@
 /// Requests for each slot above which a server gets no new flows: one runs and one waits, so that
 /// the next one would wait for longer than it runs.
 const REQUESTS_PER_SLOT: u32 = 2;
-/// A request without an answer for this long no longer counts as work at the server: most clients
-/// have given it up, and the answer or the end of the flow may have been lost.
-const ABANDONED_AFTER: Duration = Duration::from_secs(2);
 /// Heartbeat periods without a heartbeat after which the server gets no new flows.
 const SILENT_PERIODS: u32 = 3;
 
@@ -80,37 +77,6 @@
     Note(Note),
 }
 
-/// The open flows of one server, kept in the directory. If the host loses power, the clients of
-/// flows that ended with the server can still be told.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The server's process.
-    pub process: Process,
-    /// Its flows, ordered by client.
-    pub flows: Vec<Saved>,
-}
-
-/// An open flow in a snapshot.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Saved {
-    /// The client's end.
-    pub client: SocketAddr,
-    /// The address the client opened the flow to.
-    pub address: SocketAddr,
-    /// Highest acknowledgement number from the client.
-    pub acknowledged: u32,
-}
-
-impl Saved {
-    fn flow(&self) -> Flow {
-        Flow {
-            protocol: Protocol::Tcp,
-            source: self.client,
-            destination: self.address,
-        }
-    }
-}
-
 /// What a server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -138,64 +104,6 @@
     Outdated,
 }
 
-/// A flow that the server holds.
-#[derive(Debug)]
-struct Held {
-    /// The server accepted the opening packet and the client confirmed it.
-    open: bool,
-    /// Since when the client waits for an answer.
-    waiting: Option<Instant>,
-    /// Sequence number after the client's last data.
-    sent: Option<u32>,
-    /// Highest acknowledgement number from the client.
-    acknowledged: u32,
-    /// The server has no more data to send.
-    finished: bool,
-    /// The balancer that sent the flow's opening packet or its last lookup.
-    origin: Option<SocketAddr>,
-    /// The origin waits to hear who holds the flow.
-    asked: bool,
-    since: Instant,
-    seen: Instant,
-}
-
-impl Held {
-    /// Records a client's packet that may carry a request. A repeated one carries nothing new.
-    fn asks(&mut self, segment: &Segment, now: Instant) {
-        let end = segment.sequence.wrapping_add(u32::from(segment.length));
-        let new = |sent: u32| (end.wrapping_sub(sent) as i32) > 0;
-        if segment.length > 0 && self.sent.is_none_or(new) {
-            self.sent = Some(end);
-            self.waiting = Some(now);
-        }
-    }
-
-    /// Whether a request is at the server whose client still waits.
-    fn busy(&self, now: Instant) -> bool {
-        let waits = |since| now.saturating_duration_since(since) < ABANDONED_AFTER;
-        self.waiting.is_some_and(waits)
-    }
-
-    /// Whether more requests may come on the flow.
-    fn lasts(&self) -> bool {
-        self.open && !self.finished
-    }
-
-    fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
-        Self {
-            open: false,
-            waiting: None,
-            sent: None,
-            acknowledged: 0,
-            finished: false,
-            origin,
-            asked: false,
-            since: now,
-            seen: now,
-        }
-    }
-}
-
 /// A packet that the server may return.
 #[derive(Debug)]
 struct Pending {
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -9,6 +9,7 @@
 use crate::id::Generation;
 use crate::packet::{Flow, Protocol};
 
+use super::known::{Acceptance, Known};
 use super::message::{Announce, Digest, Forward, Message, Owner};
 use super::note::{Note, Topic};
 use super::roster::{Entry, Member, Process, Roster, State};
@@ -64,71 +65,6 @@
     Note(Note),
 }
 
-/// A server's acceptance of a flow.
-#[derive(Clone, Copy, Debug)]
-struct Acceptance {
-    sequence: u32,
-    agent: SocketAddr,
-    process: Option<Process>,
-}
-
-/// A flow that this balancer has forwarded.
-#[derive(Debug)]
-struct Known {
-    /// The agent that gets the flow's packets.
-    agent: SocketAddr,
-    /// Whether the agent said that its server holds the flow.
-    confirmed: bool,
-    /// The server's process, if the agent named it.
-    process: Option<Process>,
-    /// Highest acknowledgement number from the client.
-    acknowledged: u32,
-    /// Acceptances by sequence number, while several servers may have accepted the flow.
-    accepted: Vec<Acceptance>,
-    /// Agents that got the opening packet.
-    asked: Vec<SocketAddr>,
-    /// When the flow's first packet came.
-    since: Instant,
-    /// Lookups sent since the owner was last known.
-    lookups: u32,
-    seen: Instant,
-}
-
-impl Known {
-    fn new(agent: SocketAddr, now: Instant) -> Self {
-        Self {
-            agent,
-            confirmed: false,
-            process: None,
-            acknowledged: 0,
-            accepted: Vec::new(),
-            asked: Vec::new(),
-            since: now,
-            lookups: 0,
-            seen: now,
-        }
-    }
-}
-
-impl Known {
-    /// Keeps the acceptance that the client's acknowledgement answers.
-    fn choose(&mut self, acknowledgement: u32) {
-        let answers = |a: &&Acceptance| a.sequence.wrapping_add(1) == acknowledgement;
-        if let Some(acceptance) = self.accepted.iter().find(answers) {
-            self.agent = acceptance.agent;
-            self.process = acceptance.process;
-            self.accepted.clear();
-        }
-    }
-
-    /// Takes an agent for the flow's owner.
-    fn own(&mut self, agent: SocketAddr, process: Option<Process>) {
-        self.agent = agent;
-        self.process = process;
-        self.confirmed = true;
-    }
-}
-
 /// An opening packet whose acceptance is awaited.
 #[derive(Debug)]
 struct Opening {
--- /dev/null
+++ b/src/steering/held.rs
@@ -0,0 +1,71 @@
+//! What an agent knows of a flow at its server.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::segment::Segment;
+
+/// A request without an answer for this long no longer counts as work at the server: most clients
+/// have given it up, and the answer or the end of the flow may have been lost.
+const ABANDONED_AFTER: Duration = Duration::from_secs(2);
+
+/// A flow that the server holds.
+#[derive(Debug)]
+pub struct Held {
+    /// The server accepted the opening packet and the client confirmed it.
+    pub open: bool,
+    /// Since when the client waits for an answer.
+    pub waiting: Option<Instant>,
+    /// Sequence number after the client's last data.
+    sent: Option<u32>,
+    /// Highest acknowledgement number from the client.
+    pub acknowledged: u32,
+    /// The server has no more data to send.
+    pub finished: bool,
+    /// The balancer that sent the flow's opening packet or its last lookup.
+    pub origin: Option<SocketAddr>,
+    /// The origin waits to hear who holds the flow.
+    pub asked: bool,
+    /// When the flow's first packet came.
+    pub since: Instant,
+    /// When the flow's last packet came.
+    pub seen: Instant,
+}
+
+impl Held {
+    /// Records a client's packet that may carry a request. A repeated one carries nothing new.
+    pub fn asks(&mut self, segment: &Segment, now: Instant) {
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        let new = |sent: u32| (end.wrapping_sub(sent) as i32) > 0;
+        if segment.length > 0 && self.sent.is_none_or(new) {
+            self.sent = Some(end);
+            self.waiting = Some(now);
+        }
+    }
+
+    /// Whether a request is at the server whose client still waits.
+    pub fn busy(&self, now: Instant) -> bool {
+        let waits = |since| now.saturating_duration_since(since) < ABANDONED_AFTER;
+        self.waiting.is_some_and(waits)
+    }
+
+    /// Whether more requests may come on the flow.
+    pub fn lasts(&self) -> bool {
+        self.open && !self.finished
+    }
+
+    /// A flow that the server may hold.
+    pub fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
+        Self {
+            open: false,
+            waiting: None,
+            sent: None,
+            acknowledged: 0,
+            finished: false,
+            origin,
+            asked: false,
+            since: now,
+            seen: now,
+        }
+    }
+}
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -8,8 +8,11 @@
 
 pub mod agent;
 pub mod balancer;
+mod held;
+mod known;
 pub mod message;
 pub mod note;
 pub mod roster;
 pub mod routes;
 pub mod segment;
+pub mod snapshot;
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -5,12 +5,13 @@
 
 use flamingofall::id::{Generation, Incarnation, Sequence, Slots};
 use flamingofall::packet::{Flow, Protocol};
-use flamingofall::steering::agent::{self, Agent, Heartbeat, Outcome, Saved, Snapshot};
+use flamingofall::steering::agent::{self, Agent, Heartbeat, Outcome};
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::{Announce, Forward, Message};
 use flamingofall::steering::roster::{Member, Roster, State, LOST_AFTER, SUSPECT_AFTER};
 use flamingofall::steering::routes::{Repeat, Route, Routes, Table, Target};
 use flamingofall::steering::segment::{Kind, Segment};
+use flamingofall::steering::snapshot::{Saved, Snapshot};
 use yare::parameterized;
 
 fn addr(text: &str) -> SocketAddr {
