Tell a restarted agent of its earlier run

The collector merges the record of the new run before it answers, so the answer never held the earlier one, and the agent's guards after a restart (lookups answered as 'records lost', recovery before it arbitrates, the wait for duplicates) were never in force outside tests. When a joined server had become the arbiter of a flow whose owner alone knew it, and the owner's agent restarted, every member answered 'unknown' and the joined member's server got the flow and reset it. The stand-in collector of the agent's tests listed earlier records, which the real one doesn't, and hid this.

Change: the table keeps the run that a record has replaced, whichever way the new record arrived, and the collector's answer names it. The stand-in collector uses the same field.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -967,6 +967,7 @@
             Some(synced) if synced.from == from => synced.run == ack.collector,
             _ => true,
         };
+        self.restarted |= ack.former_incarnation > 0;
         for record in &ack.members {
             if let Ok(record) = Record::try_from(record) {
                 self.merge_record(record, now);
--- a/src/member.rs
+++ b/src/member.rs
@@ -184,6 +184,8 @@
     pub merged: Instant,
     /// The table's version when the record was merged.
     pub version: u64,
+    /// The member's run before the present one, if this process has known it.
+    pub former: Option<Incarnation>,
 }
 
 /// Time for which a record that is down is kept.
@@ -279,12 +281,13 @@
             Some(entry) if !moves_order(&entry.record, &record) => entry.changed,
             _ => now,
         };
-        let former = known.and_then(|entry| entry.record.service.clone());
-        let former = former.filter(|former| Some(former) != record.service.as_ref());
+        let left = known.and_then(|entry| entry.record.service.clone());
+        let left = left.filter(|left| Some(left) != record.service.as_ref());
+        let former = self.former_run(tag, record.incarnation);
         self.take(tag);
         self.version += 1;
-        if let Some(former) = former {
-            let departed = self.departed.entry(former).or_default();
+        if let Some(left) = left {
+            let departed = self.departed.entry(left).or_default();
             departed.insert(self.version, tag);
             if departed.len() > DEPARTED_MAX {
                 departed.pop_first();
@@ -296,11 +299,24 @@
             changed,
             merged: now,
             version: self.version,
+            former,
         };
         self.insert(tag, entry);
         true
     }
 
+    /// The run of a member before `run`, as far as this process has known it.
+    fn former_run(&self, tag: Tag, run: Incarnation) -> Option<Incarnation> {
+        let removed = self.removed.get(&tag).map(|removed| removed.incarnation);
+        let Some(entry) = self.entries.get(&tag) else {
+            return removed.filter(|removed| *removed < run);
+        };
+        match entry.record.incarnation < run {
+            true => Some(entry.record.incarnation),
+            false => entry.former,
+        }
+    }
+
     /// Whether this or a later version of the member was down and has been removed.
     pub fn is_removed(&self, tag: Tag, incarnation: Incarnation, sequence: Sequence) -> bool {
         self.removed.get(&tag).is_some_and(|removed| {
--- a/tests/agent/collector.rs
+++ b/tests/agent/collector.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use flamingofall::id::Sequence;
+use flamingofall::id::{Incarnation, Member, Sequence};
 use flamingofall::member::{Record, State};
 use flamingofall::view::View;
 use flamingofall::wire::{control, Body, Message};
@@ -15,9 +15,8 @@
 
 pub struct Balancer {
     pub view: View,
-    /// Records of earlier runs. Acknowledgements contain them, so that an agent learns that it has
-    /// restarted.
-    earlier: Vec<Record>,
+    /// The run before the present one of each member that has restarted.
+    former: BTreeMap<Member, Incarnation>,
     /// Last heartbeats, with the sequences of their records.
     heard: BTreeMap<usize, (Instant, Sequence)>,
 }
@@ -26,19 +25,18 @@
     pub fn new(plan: &Plan) -> Self {
         Self {
             view: View::new(service(plan).name),
-            earlier: vec![],
+            former: BTreeMap::new(),
             heard: BTreeMap::new(),
         }
     }
 
-    /// Merges a record and keeps the one of an earlier run, whichever way the new one arrived.
+    /// Merges a record and notes the run that it ends, whichever way it arrived.
     pub fn merge(&mut self, record: Record, now: Instant) -> bool {
-        let known = self
-            .view
-            .get(&record.member)
-            .map(|peer| peer.record.clone());
-        let earlier = known.filter(|known| known.incarnation < record.incarnation);
-        self.earlier.extend(earlier);
+        let known = self.view.get(&record.member);
+        let former = known.map(|peer| peer.record.incarnation);
+        if let Some(former) = former.filter(|former| *former < record.incarnation) {
+            self.former.insert(record.member.clone(), former);
+        }
         self.view.merge(record, now)
     }
 }
@@ -50,15 +48,17 @@
         };
         let record = Record::try_from(beat.record.as_ref().unwrap()).unwrap();
         let heard = (self.now, record.sequence);
+        let member = record.member.clone();
         self.balancers[balancer].heard.insert(index(from), heard);
         self.publish(balancer, record);
-        let Balancer { view, earlier, .. } = &self.balancers[balancer];
+        let Balancer { view, former, .. } = &self.balancers[balancer];
         let members = view.peers().map(|peer| &peer.record);
         let ack = control::HeartbeatAck {
             id: beat.id,
             generation: 1,
             service: serde_json::to_vec(&service(&self.plan)).unwrap(),
-            members: earlier.iter().chain(members).map(Into::into).collect(),
+            members: members.map(Into::into).collect(),
+            former_incarnation: former.get(&member).map_or(0, |run| run.0),
             complete: true,
             collector: balancer as u64,
             ..Default::default()
