--- a/examples/policy/model.rs
+++ b/examples/policy/model.rs
@@ -6,6 +6,7 @@
 
 use etherparse::PacketBuilder;
 use flamingofall::config::{Address, Config, Service};
+use flamingofall::hash::hash_bytes;
 use flamingofall::id::Service as Name;
 use flamingofall::packet::{self, Flow, Kind, Protocol};
 use flamingofall::rank;
@@ -507,7 +508,7 @@
             Policy::Reports => members.into_iter().max_by_key(|server| {
                 let free = self.deployment.slots.saturating_sub(self.reported[*server]);
                 let weight = flamingofall::id::Slots(free * 4 + 1);
-                let hash = rank::hash_bytes(&server.to_be_bytes());
+                let hash = hash_bytes(&server.to_be_bytes());
                 rank::score(hash, weight, flamingofall::id::Bucket(flow.hash() as u32))
             }),
             _ => Some(members[flow.hash() as usize % members.len()]),
--- /dev/null
+++ b/src/agent/claim.rs
@@ -0,0 +1,360 @@
+//! Claims of new flows while the membership changes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::decision::Cause;
+use crate::encap::Header;
+use crate::flow::{Entry, Origin, Owner};
+use crate::id::Member;
+use crate::member::{Record, State};
+use crate::packet::{Flow, Kind, Packet};
+use crate::view::Peer;
+use crate::wire::{control, Body};
+
+use super::task::{Claim, Held, Pending, Task, ANSWER_TIMEOUT};
+use super::{reply, send, Action, Agent, Output, Reason};
+
+/// Times a claim is sent to one member.
+pub const CLAIM_ATTEMPTS: u8 = 3;
+/// A member that is down and did not answer a claim is not asked again for this long.
+pub const UNRESPONSIVE_PERIOD: Duration = Duration::from_secs(1);
+
+impl Agent {
+    /// Claims a new flow from every other possible arbiter, then places it.
+    pub(super) fn claim(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        former: Option<Arc<Record>>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        let flow = packet.flow;
+        let Some(view) = self
+            .view
+            .as_ref()
+            .filter(|_| self.settings.mechanisms.claims)
+        else {
+            return self.place(header, packet, now, out);
+        };
+        let window = self.window(&flow);
+        let own = &self.settings.member;
+        let peers = view.contenders(own, self.bucket(&flow), window, now);
+        let departed = |peer: &&Peer| {
+            peer.record.member != *own
+                && !peer.record.state.is_arbiter()
+                && peer.has_left(window, now)
+        };
+        if self.runs_at_most_once(&flow) && peers.iter().any(departed) {
+            return Action::Drop(Reason::OutcomeUnknown);
+        }
+        let others = peers.iter().map(|peer| Arc::new(peer.record.clone()));
+        let mut claim = Claim {
+            members: former.iter().cloned().chain(others).collect(),
+            index: 0,
+            attempts: 1,
+            former: former.map(|former| former.member.clone()),
+        };
+        match self.advance(&flow, packet.kind, &mut claim, now) {
+            Outcome::Won => self.place(header, packet, now, out),
+            Outcome::Lost => self.dispatch(header, packet, now, out),
+            Outcome::Ask if self.pending.is_full() => Action::Drop(Reason::HeldFull),
+            Outcome::Ask => {
+                let task = Task::Claim(claim, Held::new(header, packet));
+                let pending = self.pending.number(task, now);
+                self.ask(&flow, &pending, out);
+                self.pending.insert(flow, pending);
+                Action::Hold
+            }
+        }
+    }
+
+    /// Moves a claim on to the next member that has to be asked.
+    fn advance(&mut self, flow: &Flow, kind: Kind, claim: &mut Claim, now: Instant) -> Outcome {
+        while let Some(member) = claim.members.get(claim.index) {
+            if self.is_own(&member.member) {
+                match self.flows.get(flow).map(|entry| &entry.owner) {
+                    None => {
+                        let entry = Entry::new(Owner::Claimed, kind, now);
+                        self.flows.insert(*flow, entry);
+                    }
+                    Some(Owner::Claimed) => {}
+                    Some(Owner::Ceded { to, .. }) if Some(&to.member) == claim.former.as_ref() => {
+                        let entry = Entry::new(Owner::Claimed, kind, now);
+                        self.flows.insert(*flow, entry);
+                    }
+                    Some(_) => return Outcome::Lost,
+                }
+            } else if !self.is_skipped(&member.member, flow, now) {
+                return Outcome::Ask;
+            }
+            claim.index += 1;
+            claim.attempts = 1;
+        }
+        Outcome::Won
+    }
+
+    /// Whether a member that is down was silent when last asked. It is asked again after some time,
+    /// because it may have been declared down by mistake.
+    fn is_skipped(&self, member: &Member, flow: &Flow, now: Instant) -> bool {
+        let asked = self.unresponsive.get(member);
+        let silent =
+            asked.is_some_and(|at| now.saturating_duration_since(*at) < UNRESPONSIVE_PERIOD);
+        silent && !self.runs_at_most_once(flow)
+    }
+
+    /// Whether a member that gives no grant may be left out of a claim: it is down, or it is new.
+    /// A member that has restarted soon knows its flows again.
+    fn may_skip(&self, member: &Member, flow: &Flow, now: Instant) -> bool {
+        if self.runs_at_most_once(flow) {
+            return false;
+        }
+        let peer = self.view.as_ref().and_then(|view| view.get(member));
+        peer.is_none_or(|peer| match peer.record.state {
+            State::Joining => !peer.has_left(self.window(flow), now),
+            State::Active | State::Draining => false,
+            State::Down => true,
+        })
+    }
+
+    /// Sends the messages that a claim is waiting for.
+    fn ask(&self, flow: &Flow, pending: &Pending, out: &mut Vec<Output>) {
+        let Task::Claim(claim, _) = &pending.task else {
+            return;
+        };
+        let member = &claim.members[claim.index];
+        let message = control::Claim {
+            id: pending.id(claim.index),
+            service: self.service_name(),
+            flow: Some(flow.into()),
+            claimant: Some((&self.record()).into()),
+            generation: self.generation.0,
+        };
+        send(member.control, Body::Claim(message), out);
+    }
+
+    /// Answers another member's claim.
+    pub(super) fn answer_claim(
+        &mut self,
+        from: SocketAddr,
+        claim: control::Claim,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = claim.flow.as_ref().and_then(|flow| flow.try_into().ok());
+        let claimant = claim
+            .claimant
+            .as_ref()
+            .and_then(|r| Record::try_from(r).ok());
+        let (Some(flow), Some(claimant)) = (flow, claimant) else {
+            return;
+        };
+        if !self.is_for_service(&claim.service) || claimant.service != self.record().service {
+            return;
+        }
+        self.unresponsive.remove(&claimant.member);
+        let mut answer = control::ClaimAnswer {
+            id: claim.id,
+            ..Default::default()
+        };
+        let verdict = match self.evaluate_claim(&flow, claimant, now) {
+            Evaluation::Granted => control::Verdict::Granted,
+            Evaluation::Owned(by) => {
+                answer.owner = Some((&by).into());
+                control::Verdict::Owned
+            }
+            Evaluation::Refused(until) => {
+                let left = until.saturating_duration_since(now);
+                answer.refused_for_millis = left.as_millis() as u32 + 1;
+                control::Verdict::Refused
+            }
+            Evaluation::NotReady => control::Verdict::NotReady,
+        };
+        answer.set_verdict(verdict);
+        send(from, Body::ClaimAnswer(answer), out);
+    }
+
+    /// Decides about a claim, and records a grant.
+    fn evaluate_claim(&mut self, flow: &Flow, claimant: Record, now: Instant) -> Evaluation {
+        let leased = self.heartbeat.is_leased(now) || !self.settings.mechanisms.lease;
+        let recovering = self.restarted && !self.joined;
+        if !leased || self.superseded || recovering || self.awaits_duplicates(flow, now) {
+            return Evaluation::NotReady;
+        }
+        if let Some(entry) = self.flows.get(flow) {
+            match &entry.owner {
+                Owner::Local { epoch } if *epoch != self.epoch && self.runs_at_most_once(flow) => {
+                    return Evaluation::NotReady;
+                }
+                Owner::Local { .. } | Owner::Claimed | Owner::Recovered(_) => {
+                    return Evaluation::Owned(self.record());
+                }
+                Owner::Ceded { to, .. } if to.member == claimant.member => {
+                    return Evaluation::Granted;
+                }
+                Owner::Ceded { to, .. } => match self.reachable(to) {
+                    Some(owner) => return Evaluation::Owned(owner),
+                    None if self.runs_at_most_once(flow) => return Evaluation::NotReady,
+                    None => {}
+                },
+                Owner::Refused { until } if now < *until => return Evaluation::Refused(*until),
+                Owner::Refused { .. } => {}
+            }
+        }
+        let owner = Owner::Ceded {
+            to: Arc::new(claimant),
+            origin: Origin::Granted,
+            confirmed: false,
+        };
+        let entry = Entry::new(owner, Kind::Datagram, now);
+        self.flows.insert(*flow, entry);
+        Evaluation::Granted
+    }
+
+    /// Handles the answer to a claim.
+    pub(super) fn claim_answered(
+        &mut self,
+        answer: control::ClaimAnswer,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Some((flow, mut pending, index)) = self.pending.take_by_id(answer.id) else {
+            return;
+        };
+        if !self.may_decide(now) {
+            return;
+        }
+        let Task::Claim(claim, _) = &mut pending.task else {
+            return self.pending.insert(flow, pending);
+        };
+        if claim.index != index {
+            return self.pending.insert(flow, pending);
+        }
+        let member = claim.members[index].member.clone();
+        match answer.verdict() {
+            control::Verdict::Granted => self.granted(flow, pending, now, out),
+            control::Verdict::NotReady if self.may_skip(&member, &flow, now) => {
+                self.granted(flow, pending, now, out)
+            }
+            control::Verdict::Owned => {
+                let owner = answer.owner.as_ref().and_then(|r| Record::try_from(r).ok());
+                self.claim_lost(flow, pending, owner, now, out);
+            }
+            control::Verdict::Refused => {
+                let left = Duration::from_millis(u64::from(answer.refused_for_millis));
+                self.claim_refused(flow, pending, now + left, now, out);
+            }
+            // The member may own the flow: its packet is dropped, and the client sends it again.
+            _ => {}
+        }
+    }
+
+    /// Continues a claim after its current member has granted it.
+    fn granted(&mut self, flow: Flow, mut pending: Pending, now: Instant, out: &mut Vec<Output>) {
+        let Task::Claim(claim, held) = &mut pending.task else {
+            return;
+        };
+        claim.index += 1;
+        claim.attempts = 1;
+        let outcome = self.advance(&flow, held.kind, claim, now);
+        if outcome == Outcome::Ask {
+            pending.due = now + ANSWER_TIMEOUT;
+            self.ask(&flow, &pending, out);
+            return self.pending.insert(flow, pending);
+        }
+        let Task::Claim(_, held) = pending.task else {
+            return;
+        };
+        let (header, packet) = (held.header, held.packet(flow));
+        let action = match outcome {
+            Outcome::Won => self.place(&header, &packet, now, out),
+            _ => self.dispatch(&header, &packet, now, out),
+        };
+        Self::release(action, held, out);
+    }
+
+    /// Forwards the packet to the member that claimed the flow first.
+    fn claim_lost(
+        &mut self,
+        flow: Flow,
+        pending: Pending,
+        owner: Option<Record>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Task::Claim(_, held) = pending.task else {
+            return;
+        };
+        let Some(owner) = owner.filter(|owner| !self.is_own(&owner.member)) else {
+            return;
+        };
+        if self.reachable(&owner).is_none() {
+            return;
+        }
+        self.cede(&flow, held.kind, owner, false, now);
+        let cause = Cause::Claim;
+        self.decide_ceded(flow, cause, out);
+        let action = self.dispatch(&held.header, &held.packet(flow), now, out);
+        Self::release(action, held, out);
+    }
+
+    fn claim_refused(
+        &mut self,
+        flow: Flow,
+        pending: Pending,
+        until: Instant,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Task::Claim(_, held) = pending.task else {
+            return;
+        };
+        let packet = held.packet(flow);
+        self.record_refusal(&packet, until, now);
+        reply(&packet, out);
+    }
+
+    pub(super) fn repeat_claim(
+        &mut self,
+        flow: Flow,
+        mut pending: Pending,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Task::Claim(claim, _) = &mut pending.task else {
+            return;
+        };
+        if claim.attempts < CLAIM_ATTEMPTS {
+            claim.attempts += 1;
+            pending.due = now + ANSWER_TIMEOUT;
+            self.ask(&flow, &pending, out);
+            return self.pending.insert(flow, pending);
+        }
+        let member = claim.members[claim.index].member.clone();
+        if self.may_skip(&member, &flow, now) {
+            self.unresponsive.insert(member, now);
+            self.granted(flow, pending, now, out);
+        }
+    }
+}
+
+/// How far a claim has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// A member has to be asked.
+    Ask,
+    /// Every member has granted the claim.
+    Won,
+    /// This agent has granted the flow to another member.
+    Lost,
+}
+
+/// The answer to a claim.
+enum Evaluation {
+    Granted,
+    Owned(Record),
+    Refused(Instant),
+    NotReady,
+}
--- /dev/null
+++ b/src/agent/dispatch.rs
@@ -0,0 +1,291 @@
+//! Packets of flows that are not established flows of the current server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::encap::{self, Header};
+use crate::flow::{Origin, Owner, Phase};
+use crate::member::{Record, State};
+use crate::packet::{Flow, Kind, Packet, Protocol};
+use crate::view;
+
+use super::{reply, Action, Agent, Output, Reason};
+
+impl Agent {
+    /// Handles a packet of a flow that is not an established flow of the current server.
+    pub(super) fn dispatch(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if self.pending.contains(&packet.flow) {
+            return Action::Drop(Reason::Pending);
+        }
+        let Some(entry) = self.flows.get(&packet.flow) else {
+            return self.unknown(header, packet, now, out);
+        };
+        match &entry.owner {
+            Owner::Local { epoch } if *epoch == self.epoch => {
+                self.opening_or_closed(header, packet, now, out)
+            }
+            Owner::Local { .. } => self.stale_flow(packet, now, out),
+            Owner::Ceded { .. } => self.ceded(header, packet, now, out),
+            Owner::Claimed => self.unknown(header, packet, now, out),
+            Owner::Recovered(_) => self.recovered(header, packet, now, out),
+            Owner::Refused { until } if now < *until => {
+                reply(packet, out);
+                Action::Drop(Reason::Refused)
+            }
+            Owner::Refused { .. } => {
+                self.flows.remove(&packet.flow);
+                self.unknown(header, packet, now, out)
+            }
+        }
+    }
+
+    /// A flow of the current server that is not known to be established, or has ended.
+    fn opening_or_closed(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if self.server.is_none() {
+            return Action::Drop(Reason::ServerGone);
+        }
+        let leased = self.may_decide(now);
+        let draining = self.state() == State::Draining;
+        let Some(entry) = self.flows.get_mut(&packet.flow) else {
+            return Action::Drop(Reason::UnknownFlow);
+        };
+        if entry.phase == Phase::Closing && packet.kind == Kind::Syn && draining {
+            // A new connection with the ports of one that has ended.
+            self.flows.remove(&packet.flow);
+            return self.unknown(header, packet, now, out);
+        }
+        if entry.phase == Phase::Opening && !leased {
+            // Without a lease another member may have accepted a copy of the SYN.
+            return Action::Drop(Reason::Unleased);
+        }
+        entry.touch(packet.kind, now);
+        Action::Deliver
+    }
+
+    /// A flow of an earlier run of the server.
+    fn stale_flow(&mut self, packet: &Packet<'_>, now: Instant, out: &mut Vec<Output>) -> Action {
+        if let Some(entry) = self.flows.get_mut(&packet.flow) {
+            entry.touch(packet.kind, now);
+        }
+        if packet.flow.protocol == Protocol::Tcp && self.server.is_some() {
+            reply(packet, out);
+        }
+        Action::Drop(Reason::ServerGone)
+    }
+
+    /// A flow of another member.
+    fn ceded(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        let Some(entry) = self.flows.get(&packet.flow) else {
+            return Action::Drop(Reason::UnknownFlow);
+        };
+        let Owner::Ceded {
+            to,
+            origin,
+            confirmed,
+        } = entry.owner.clone()
+        else {
+            return Action::Drop(Reason::UnknownFlow);
+        };
+        if origin == Origin::Granted && header.assigned {
+            // Either the claimant won the flow and passed it on to this agent, or the packet is an
+            // old one of a member that has granted the flow in the meantime.
+            return self.look_up(header, packet, Some(&to), now, out);
+        }
+        let Some(owner) = self.reachable(&to) else {
+            return self.owner_down(header, packet, to, now, out);
+        };
+        if header.hop_limit == 0 {
+            return Action::Drop(Reason::HopLimit);
+        }
+        let passing = origin == Origin::Assigned && !confirmed && packet.kind.is_first();
+        if passing && !self.may_decide(now) {
+            // The owner may not have the flow yet, and another member may have accepted it.
+            return Action::Drop(Reason::Unleased);
+        }
+        if !confirmed {
+            self.confirm(&packet.flow, owner.control, now, out);
+        }
+        if let Some(entry) = self.flows.get_mut(&packet.flow) {
+            entry.touch(packet.kind, now);
+        }
+        self.forward(header, owner.data, origin == Origin::Assigned)
+    }
+
+    /// A flow of a member that is down.
+    fn owner_down(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        owner: Arc<Record>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if !packet.kind.is_first() {
+            return self.unknown(header, packet, now, out);
+        }
+        if self.runs_at_most_once(&packet.flow) {
+            return Action::Drop(Reason::OutcomeUnknown);
+        }
+        if !self.may_decide(now) {
+            return Action::Drop(Reason::Unleased);
+        }
+        if header.service != self.tag || !self.serves(&packet.flow) {
+            return Action::Drop(Reason::OtherAddress);
+        }
+        // The member may have been declared down by mistake.
+        self.claim(header, packet, Some(owner), now, out)
+    }
+
+    /// A flow that this agent owned before a restart or a lapse of its lease.
+    fn recovered(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if self.runs_at_most_once(&packet.flow) {
+            if let Some(entry) = self.flows.get_mut(&packet.flow) {
+                entry.touch(packet.kind, now);
+            }
+            return Action::Drop(Reason::OutcomeUnknown);
+        }
+        self.look_up(header, packet, None, now, out)
+    }
+
+    /// A flow without a record of its owner.
+    fn unknown(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if packet.kind == Kind::Error {
+            return Action::Drop(Reason::UnknownFlow);
+        }
+        if self.server.is_none() {
+            return Action::Drop(Reason::ServerGone);
+        }
+        if header.service != self.tag {
+            return Action::Drop(Reason::OtherService);
+        }
+        if self.settings.mechanisms.lease && !self.heartbeat.is_leased(now) {
+            return Action::Drop(Reason::Unleased);
+        }
+        if packet.kind.is_first() && !self.serves(&packet.flow) {
+            return Action::Drop(Reason::OtherAddress);
+        }
+        if packet.kind.is_first() && self.restarted && !self.joined {
+            // A copy of a SYN that the server has already received must not reach another server.
+            return Action::Drop(Reason::NotReady);
+        }
+        if let Some(action) = self.redirect(header, &packet.flow) {
+            return action;
+        }
+        if !self.may_decide(now) {
+            return Action::Drop(Reason::NotReady);
+        }
+        if !packet.kind.is_first() {
+            return self.look_up(header, packet, None, now, out);
+        }
+        if self.awaits_duplicates(&packet.flow, now) {
+            return Action::Drop(Reason::NotReady);
+        }
+        if header.fallback.is_some() && self.follows_move(&packet.flow, now) {
+            return self.look_up(header, packet, None, now, out);
+        }
+        if !header.assigned {
+            return self.claim(header, packet, None, now, out);
+        }
+        if self.has_restarted(now) || self.has_lapsed(now) {
+            // The previous run may have passed the flow on, or the sender may have granted it to
+            // another member in the meantime.
+            return self.look_up(header, packet, None, now, out);
+        }
+        self.place(header, packet, now, out)
+    }
+
+    /// Whether a copy of the flow's first packet may have reached the service that had the address
+    /// before.
+    fn follows_move(&self, flow: &Flow, now: Instant) -> bool {
+        let configured = self.configured.unwrap_or(self.started);
+        flow.protocol == Protocol::Udp
+            && now.saturating_duration_since(configured) < view::AT_MOST_ONCE_WINDOW
+    }
+
+    /// Whether copies of packets may arrive whose flows the previous run decided about.
+    pub(super) fn has_restarted(&self, now: Instant) -> bool {
+        self.restarted && is_recent(self.started, now)
+    }
+
+    /// Whether the lease had lapsed recently.
+    fn has_lapsed(&self, now: Instant) -> bool {
+        self.lapsed.is_some_and(|at| is_recent(at, now))
+    }
+
+    /// Whether the configuration maps the flow's address to the service.
+    ///
+    /// The sender maps it to the same service, or the header would name another one. So the
+    /// sender's generation needs no comparison, and a change elsewhere delays no flow.
+    pub(super) fn serves(&self, flow: &Flow) -> bool {
+        let service = self.service.as_ref();
+        service.is_some_and(|service| service.serves(flow))
+    }
+
+    /// Sends a packet on to the arbiter, unless an agent has forwarded it already.
+    fn redirect(&self, header: &Header, flow: &Flow) -> Option<Action> {
+        if header.assigned || header.hop_limit < encap::HOP_LIMIT {
+            return None;
+        }
+        let arbiter = self.view.as_ref()?.arbiter(self.bucket(flow))?;
+        if self.is_own(&arbiter.member) {
+            return None;
+        }
+        Some(self.forward(header, arbiter.data, false))
+    }
+
+    pub(super) fn forward(&self, header: &Header, to: SocketAddr, assigned: bool) -> Action {
+        let header = Header {
+            hop_limit: header.hop_limit - 1,
+            assigned,
+            ..*header
+        };
+        Action::Forward { to, header }
+    }
+
+    /// The latest record of a member that a flow was ceded to, or `None` if it is down.
+    pub(super) fn reachable(&self, to: &Record) -> Option<Record> {
+        let view = self.view.as_ref()?;
+        match view.get(&to.member) {
+            Some(peer) if peer.record.state == State::Down => None,
+            Some(peer) => Some(peer.record.clone()),
+            None if to.service.as_ref() == Some(view.service()) => None,
+            None => Some(to.clone()),
+        }
+    }
+}
+
+/// Whether packets sent before `at` may still arrive.
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < view::SETTLING_WINDOW
+}
--- /dev/null
+++ b/src/agent/lookup.rs
@@ -0,0 +1,527 @@
+//! Lookups of the owners of established flows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::decision::{Cause, Verdict};
+use crate::encap::Header;
+use crate::flow::{Entry, Evidence, Origin, Owner, Phase, DUPLICATE_WINDOW};
+use crate::member::{Record, State};
+use crate::packet::{Flow, Kind, Packet, Protocol};
+use crate::rank;
+use crate::wire::{control, Body};
+
+use super::task::{Asker, Confirmation, Held, Lookup, Pending, Reply, Task, ANSWER_TIMEOUT};
+use super::{reply, send, Action, Agent, Output, Reason, CONFIRM_ID};
+
+impl Agent {
+    /// Starts a lookup of the owner of a flow that exists, at all members or only at the one that
+    /// must know it.
+    pub(super) fn look_up(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        only: Option<&Record>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if !self.settings.mechanisms.lookups {
+            return self.adopt(header, packet, now, out);
+        }
+        if self.pending.is_full() {
+            return Action::Drop(Reason::HeldFull);
+        }
+        let asker = Asker::Packet(Held::new(header, packet));
+        let targets = match only {
+            Some(member) => vec![Some(member.control)],
+            None => self.lookup_targets(&packet.flow, header.fallback),
+        };
+        self.start_lookup(packet.flow, asker, targets, now, out);
+        Action::Hold
+    }
+
+    fn start_lookup(
+        &mut self,
+        flow: Flow,
+        asker: Asker,
+        targets: Vec<Option<SocketAddr>>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let lookup = Lookup::new(asker, targets);
+        let pending = self.pending.number(Task::Lookup(lookup), now);
+        self.continue_lookup(flow, pending, now, out);
+    }
+
+    /// All members in the order of the flow's bucket, after the fallback.
+    fn lookup_targets(&self, flow: &Flow, fallback: Option<SocketAddr>) -> Vec<Option<SocketAddr>> {
+        let Some(view) = &self.view else {
+            return Vec::new();
+        };
+        let order = view.order(self.bucket(flow));
+        let others = order
+            .into_iter()
+            .filter(|record| !self.is_own(&record.member))
+            .map(|record| (record.state != State::Down).then_some(record.control));
+        fallback.map(Some).into_iter().chain(others).collect()
+    }
+
+    /// Sends the next round of a lookup, or ends it.
+    pub(super) fn continue_lookup(
+        &mut self,
+        flow: Flow,
+        mut pending: Pending,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Task::Lookup(lookup) = &mut pending.task else {
+            return;
+        };
+        let Some(round) = lookup.next_round() else {
+            return self.end_lookup(flow, pending, now, out);
+        };
+        let targets: Vec<_> = round
+            .into_iter()
+            .map(|index| (index, lookup.targets[index]))
+            .collect();
+        pending.due = now + ANSWER_TIMEOUT;
+        for (index, target) in targets {
+            let message = control::Lookup {
+                id: pending.id(index),
+                service: self.service_name(),
+                flow: Some((&flow).into()),
+            };
+            if let Some(to) = target {
+                send(to, Body::Lookup(message), out);
+            }
+        }
+        self.pending.insert(flow, pending);
+    }
+
+    fn end_lookup(&mut self, flow: Flow, pending: Pending, now: Instant, out: &mut Vec<Output>) {
+        let Task::Lookup(lookup) = pending.task else {
+            return;
+        };
+        if !lookup.is_complete() || !self.may_decide(now) {
+            return;
+        }
+        let own = &self.settings.member;
+        let former = lookup
+            .former_owner(own)
+            .or_else(|| self.first_lost(&lookup, &flow, now));
+        let other = former.filter(|owner| owner.member != *own && !self.is_recovered(&flow));
+        if let Some(owner) = other.cloned() {
+            let owner = Record::clone(&owner);
+            return self.found(flow, lookup.asker, owner, now, out);
+        }
+        match lookup.asker {
+            Asker::Packet(held) => {
+                let action = self.unowned(&held.header, &held.packet(flow), now, out);
+                Self::release(action, held, out);
+            }
+            Asker::Member { to, id } if flow.protocol == Protocol::Udp => {
+                answer_lookup_with(to, id, control::Verdict::Unknown, None, out);
+            }
+            Asker::Member { to, id } => {
+                let packet = Packet {
+                    flow,
+                    kind: Kind::Segment,
+                    bytes: &[],
+                };
+                if self.is_arbiter(&flow) {
+                    self.own(&packet, now);
+                    self.decide(flow, Verdict::Adopted, Cause::Lookup, None, out);
+                    let verdict = control::Verdict::Owned;
+                    answer_lookup_with(to, id, verdict, Some(&self.record()), out);
+                }
+            }
+        }
+    }
+
+    /// The first member in the order that lost its records, unless this one precedes it.
+    ///
+    /// It is the likeliest owner: a member knows the flows that began while it was away, because the
+    /// others name them when it recovers.
+    fn first_lost<'a>(
+        &self,
+        lookup: &'a Lookup,
+        flow: &Flow,
+        now: Instant,
+    ) -> Option<&'a Arc<Record>> {
+        let first = lookup.first_lost()?;
+        let bucket = self.bucket(flow);
+        let own = rank::key(&self.settings.member, self.own_slots(), bucket);
+        let precedes = own > rank::key(&first.member, first.slots, bucket);
+        (!precedes || !self.has_lost_records(now)).then_some(first)
+    }
+
+    fn is_recovered(&self, flow: &Flow) -> bool {
+        let entry = self.flows.get(flow);
+        let evidence = entry.map(|entry| &entry.owner);
+        matches!(
+            evidence,
+            Some(Owner::Recovered(Evidence::Named | Evidence::Delivered))
+        )
+    }
+
+    /// Whether flows of an earlier run of this agent may still be established.
+    fn has_lost_records(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started);
+        self.restarted && age < self.idle_timeouts().tcp()
+    }
+
+    /// Handles a packet of a flow that no member knows.
+    fn unowned(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        let owner = self.flows.get(&packet.flow).map(|entry| &entry.owner);
+        if !packet.kind.is_first() || matches!(owner, Some(Owner::Recovered(_))) {
+            return self.adopt(header, packet, now, out);
+        }
+        if header.assigned {
+            return self.place(header, packet, now, out);
+        }
+        self.claim(header, packet, None, now, out)
+    }
+
+    /// Gives a flow that no member knows to the local server.
+    ///
+    /// If the server doesn't know the connection, its reset is the correct answer.
+    fn adopt(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if header.fallback.is_some() {
+            // The flow belongs to the service that had the address before.
+            reply(packet, out);
+            return Action::Drop(Reason::OtherService);
+        }
+        self.own(packet, now);
+        self.decide(packet.flow, Verdict::Adopted, Cause::Lookup, None, out);
+        Action::Deliver
+    }
+
+    /// Answers another member's lookup.
+    pub(super) fn answer_lookup(
+        &mut self,
+        from: SocketAddr,
+        lookup: control::Lookup,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(flow) = lookup.flow.as_ref().and_then(|flow| flow.try_into().ok()) else {
+            return;
+        };
+        let known = self
+            .flows
+            .get(&flow)
+            .map(|entry| (&entry.owner, entry.phase));
+        let opening = |phase| flow.protocol == Protocol::Tcp && phase == Phase::Opening;
+        let (verdict, owner) = match known {
+            Some((Owner::Local { .. }, phase)) if opening(phase) && !self.may_decide(now) => {
+                (control::Verdict::NotReady, None)
+            }
+            Some((Owner::Local { .. } | Owner::Recovered(Evidence::Delivered), _)) => {
+                (control::Verdict::Owned, Some(self.record()))
+            }
+            Some((Owner::Recovered(Evidence::Named), _)) => {
+                (control::Verdict::Granted, Some(self.record()))
+            }
+            Some((Owner::Recovered(Evidence::Granted), _)) => {
+                (control::Verdict::Unknown, Some(self.record()))
+            }
+            Some((Owner::Ceded { to, origin, .. }, _)) => match self.reachable(to) {
+                // A claimant may not have decided yet, so it is not named as the owner.
+                Some(owner) if *origin == Origin::Granted => {
+                    (control::Verdict::Granted, Some(owner))
+                }
+                Some(owner) => (control::Verdict::Owned, Some(owner)),
+                None => (control::Verdict::NotReady, None),
+            },
+            Some((Owner::Claimed, _)) => (control::Verdict::NotReady, None),
+            Some((Owner::Refused { until }, _)) if now < *until => {
+                (control::Verdict::Refused, None)
+            }
+            Some((Owner::Refused { .. }, _)) => (control::Verdict::Unknown, None),
+            None if !self.is_for_service(&lookup.service) => {
+                if self.may_decide(now) && !self.pending.contains(&flow) && !self.pending.is_full()
+                {
+                    let asker = Asker::Member {
+                        to: from,
+                        id: lookup.id,
+                    };
+                    let targets = self.lookup_targets(&flow, None);
+                    self.start_lookup(flow, asker, targets, now, out);
+                }
+                return;
+            }
+            // A restarted agent may have lost its record of the flow. If this agent is the arbiter
+            // in its own view, the packet belongs here and the asking member must not adopt the
+            // flow.
+            None if self.is_forgetful(now) || self.is_arbiter(&flow) => {
+                (control::Verdict::NotReady, None)
+            }
+            None if self.has_lost_records(now) => (control::Verdict::Unknown, Some(self.record())),
+            None => (control::Verdict::Unknown, None),
+        };
+        answer_lookup_with(from, lookup.id, verdict, owner.as_ref(), out);
+    }
+
+    /// Whether flows that this agent owns may be missing from its table.
+    fn is_forgetful(&self, now: Instant) -> bool {
+        let unleased = !self.heartbeat.is_leased(now);
+        unleased || self.superseded || (self.restarted && !self.joined)
+    }
+
+    /// Handles the answer to a lookup.
+    pub(super) fn lookup_answered(
+        &mut self,
+        answer: control::LookupAnswer,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let owner = answer.owner.as_ref().and_then(|r| Record::try_from(r).ok());
+        if answer.id & CONFIRM_ID != 0 {
+            return self.confirmed(answer.id, answer.verdict(), owner, now);
+        }
+        let Some((flow, mut pending, index)) = self.pending.take_by_id(answer.id) else {
+            return;
+        };
+        if !self.may_decide(now) {
+            return;
+        }
+        let Task::Lookup(lookup) = &mut pending.task else {
+            return self.pending.insert(flow, pending);
+        };
+        if index >= lookup.targets.len() {
+            return self.pending.insert(flow, pending);
+        }
+        let own = &self.settings.member;
+        let named_own = owner.as_ref().is_some_and(|owner| owner.member == *own);
+        match (answer.verdict(), owner) {
+            (control::Verdict::Refused, _) => {
+                return self.lookup_refused(flow, pending, index, now, out);
+            }
+            (control::Verdict::Unknown, None) => lookup.replies[index] = Reply::Unknown,
+            (control::Verdict::Unknown, Some(member)) => {
+                lookup.replies[index] = Reply::Lost(Arc::new(member));
+            }
+            (control::Verdict::Granted, Some(owner)) => {
+                let to = owner.control;
+                if lookup.targets[index] == Some(to) {
+                    lookup.replies[index] = Reply::Former(Arc::new(owner));
+                } else {
+                    let to = (!named_own).then_some(to);
+                    lookup.hint(index, Reply::Granted(Arc::new(owner)), to);
+                }
+            }
+            (control::Verdict::Owned, Some(owner)) => {
+                let to = owner.control;
+                if lookup.targets[index] == Some(to) {
+                    let Task::Lookup(lookup) = pending.task else {
+                        return;
+                    };
+                    return self.found(flow, lookup.asker, owner, now, out);
+                }
+                let to = (!named_own).then_some(to);
+                lookup.hint(index, Reply::Named(Arc::new(owner)), to);
+            }
+            _ => {}
+        }
+        self.lookup_replied(flow, pending, now, out);
+    }
+
+    /// Continues a lookup if every member asked so far has answered.
+    fn lookup_replied(
+        &mut self,
+        flow: Flow,
+        pending: Pending,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        match &pending.task {
+            Task::Lookup(lookup) if lookup.is_round_answered() => {
+                self.continue_lookup(flow, pending, now, out);
+            }
+            _ => self.pending.insert(flow, pending),
+        }
+    }
+
+    /// Refuses a first packet of a flow that another member has refused.
+    fn lookup_refused(
+        &mut self,
+        flow: Flow,
+        mut pending: Pending,
+        index: usize,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Task::Lookup(lookup) = &mut pending.task else {
+            return;
+        };
+        match &lookup.asker {
+            Asker::Packet(held) if held.kind.is_first() => {
+                let packet = held.packet(flow);
+                self.record_refusal(&packet, now + DUPLICATE_WINDOW, now);
+                reply(&packet, out);
+            }
+            _ => {
+                lookup.replies[index] = Reply::Unknown;
+                self.lookup_replied(flow, pending, now, out);
+            }
+        }
+    }
+
+    /// Records the owner that a lookup found.
+    fn found(
+        &mut self,
+        flow: Flow,
+        asker: Asker,
+        owner: Record,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        match asker {
+            Asker::Packet(held) => {
+                self.cede(&flow, held.kind, owner, true, now);
+                self.decide_ceded(flow, Cause::Lookup, out);
+                let action = self.dispatch(&held.header, &held.packet(flow), now, out);
+                Self::release(action, held, out);
+            }
+            Asker::Member { to, id } => {
+                self.cede(&flow, Kind::Segment, owner.clone(), true, now);
+                let verdict = control::Verdict::Owned;
+                answer_lookup_with(to, id, verdict, Some(&owner), out);
+            }
+        }
+    }
+
+    /// Records another member as the owner of a flow.
+    pub(super) fn cede(
+        &mut self,
+        flow: &Flow,
+        kind: Kind,
+        to: Record,
+        confirmed: bool,
+        now: Instant,
+    ) {
+        let owner = Owner::Ceded {
+            to: Arc::new(to),
+            origin: Origin::Found,
+            confirmed,
+        };
+        self.flows.insert(*flow, Entry::new(owner, kind, now));
+    }
+
+    pub(super) fn decide_ceded(&self, flow: Flow, cause: Cause, out: &mut Vec<Output>) {
+        if let Some(Owner::Ceded { to, .. }) = self.flows.get(&flow).map(|entry| &entry.owner) {
+            self.decide(flow, Verdict::Ceded, cause, Some(to.member.clone()), out);
+        }
+    }
+
+    /// Asks the member that a flow was ceded to whether it has passed the flow on.
+    ///
+    /// Without this, a chain of members that passed the flow on would break with each of them.
+    pub(super) fn confirm(
+        &mut self,
+        flow: &Flow,
+        to: SocketAddr,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        if self.confirmations.contains_key(flow) {
+            return;
+        }
+        let id = self.next_id() | CONFIRM_ID;
+        self.confirmations
+            .insert(*flow, Confirmation { id, to, sent: now });
+        let message = control::Lookup {
+            id,
+            service: self.service_name(),
+            flow: Some(flow.into()),
+        };
+        send(to, Body::Lookup(message), out);
+    }
+
+    fn confirmed(
+        &mut self,
+        id: u64,
+        verdict: control::Verdict,
+        named: Option<Record>,
+        now: Instant,
+    ) {
+        let asked = self.confirmations.iter().find(|(_, asked)| asked.id == id);
+        let Some((flow, asked)) = asked.map(|(flow, asked)| (*flow, *asked)) else {
+            return;
+        };
+        self.confirmations.remove(&flow);
+        let Some(named) = named else {
+            return;
+        };
+        if self.is_own(&named.member) {
+            return self.release_unowned(&flow);
+        }
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let Owner::Ceded {
+            to,
+            origin,
+            confirmed,
+        } = &mut entry.owner
+        else {
+            return;
+        };
+        if verdict != control::Verdict::Owned || to.control != asked.to {
+            return;
+        }
+        if to.member == named.member {
+            *confirmed = true;
+            return;
+        }
+        *to = Arc::new(named);
+        if *origin == Origin::Granted {
+            *origin = Origin::Found;
+        }
+        entry.seen = now;
+    }
+
+    /// Forgets a flow that this agent ceded to a member which names this agent as the owner.
+    ///
+    /// Neither has decided about the flow, unless this agent assigned it and the packet is on its
+    /// way.
+    fn release_unowned(&mut self, flow: &Flow) {
+        let owner = self.flows.get(flow).map(|entry| &entry.owner);
+        let ceded = match owner {
+            Some(Owner::Ceded { origin, .. }) => *origin != Origin::Assigned,
+            _ => false,
+        };
+        if ceded && !self.runs_at_most_once(flow) {
+            self.flows.remove(flow);
+        }
+    }
+}
+
+fn answer_lookup_with(
+    to: SocketAddr,
+    id: u64,
+    verdict: control::Verdict,
+    owner: Option<&Record>,
+    out: &mut Vec<Output>,
+) {
+    let mut answer = control::LookupAnswer {
+        id,
+        owner: owner.map(Into::into),
+        ..Default::default()
+    };
+    answer.set_verdict(verdict);
+    send(to, Body::LookupAnswer(answer), out);
+}
--- /dev/null
+++ b/src/agent/membership.rs
@@ -0,0 +1,332 @@
+//! The agent's own record, its lease and the configuration that it gets with it.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use crate::admission::Load;
+use crate::config;
+use crate::flow::{Evidence, Origin, Owner, Phase};
+use crate::id::{Connections, Generation, Incarnation, Slots};
+use crate::member::{Record, Role, State};
+use crate::packet::Protocol;
+use crate::server::{self, Announcement};
+use crate::view::View;
+use crate::wire::{control, Body};
+
+use super::{send, Agent, Output, Server, Synced};
+
+impl Agent {
+    /// Handles an event about the server.
+    pub fn server(&mut self, event: server::Event, now: Instant, out: &mut Vec<Output>) {
+        match event {
+            server::Event::Announced(announcement) => self.announced(announcement, now),
+            server::Event::Reported(report) => self.admission.report(report, now),
+            server::Event::Gone => self.server_gone(now),
+        }
+        self.send_heartbeat(now, out);
+    }
+
+    fn announced(&mut self, announcement: Announcement, now: Instant) {
+        if self.view.is_none() || self.tag != announcement.service.tag() {
+            self.tag = announcement.service.tag();
+            self.view = Some(View::new(announcement.service.clone()));
+            self.service = None;
+            self.generation = Generation(0);
+            self.synced = None;
+            self.return_to_joining();
+        }
+        let previous = self.server.take();
+        let same = previous
+            .as_ref()
+            .filter(|server| server.announcement.incarnation == announcement.incarnation);
+        let started = same.map_or(now, |server| server.started);
+        let changed = previous.as_ref().map(|server| &server.announcement) != Some(&announcement);
+        if same.is_none() {
+            self.renew_epoch(announcement.incarnation);
+        }
+        self.server = Some(Server {
+            announcement,
+            announced: now,
+            started,
+        });
+        if changed {
+            self.publish(now);
+        }
+    }
+
+    /// Counts a new run of the server. A server that was only silent keeps its flows.
+    fn renew_epoch(&mut self, incarnation: Incarnation) {
+        if self.last_server != Some(incarnation) {
+            self.last_server = Some(incarnation);
+            self.epoch += 1;
+            self.load = Load::default();
+            self.admission.reset();
+        }
+    }
+
+    pub(super) fn server_gone(&mut self, now: Instant) {
+        if self.server.take().is_some() {
+            self.return_to_joining();
+            self.lapsed = Some(now);
+            self.mark_opening_uncertain();
+            self.publish(now);
+        }
+    }
+
+    /// Returns to state joining.
+    fn return_to_joining(&mut self) {
+        self.joined = false;
+        self.recovery = None;
+        self.pending.clear();
+    }
+
+    /// State in the agent's own record.
+    pub(super) fn state(&self) -> State {
+        match &self.server {
+            None => State::Down,
+            Some(_) if !self.joined => State::Joining,
+            Some(server) if server.announcement.state == server::State::Draining => State::Draining,
+            Some(_) if self.draining || self.is_drained() => State::Draining,
+            Some(_) => State::Active,
+        }
+    }
+
+    /// Whether the configuration drains this member.
+    fn is_drained(&self) -> bool {
+        let drains = self.service.as_ref().map(|service| &service.drain);
+        drains.is_some_and(|drains| {
+            let ip = self.settings.control.ip();
+            drains.servers.contains(&self.settings.member) || drains.hosts.contains(&ip)
+        })
+    }
+
+    pub(super) fn own_slots(&self) -> Slots {
+        let server = self.server.as_ref();
+        server.map_or(Slots(0), |server| server.announcement.slots)
+    }
+
+    /// The agent's own record.
+    pub(super) fn record(&self) -> Record {
+        let announcement = self.server.as_ref().map(|server| &server.announcement);
+        Record {
+            member: self.settings.member.clone(),
+            role: Role::Agent,
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            state: self.state(),
+            domain: self.settings.domain.clone(),
+            control: self.settings.control,
+            data: self.settings.data,
+            service: self.view.as_ref().map(|view| view.service().clone()),
+            slots: self.own_slots(),
+            connections: announcement.map_or(Connections(0), |server| server.connections),
+            generation: self.generation,
+            open_flows: self.open_flows,
+        }
+    }
+
+    /// Makes a change of the own record known.
+    pub(super) fn publish(&mut self, now: Instant) {
+        self.sequence.0 += 1;
+        let record = self.record();
+        if let Some(view) = &mut self.view {
+            view.merge(record, now);
+        }
+        self.heartbeat.schedule_now(now);
+    }
+
+    /// Refutes a balancer that declared this member down.
+    pub(super) fn declared(
+        &mut self,
+        from: SocketAddr,
+        rumour: &control::Rumour,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let sequence = self.sequence;
+        let records = rumour.records.iter();
+        for record in records.filter_map(|record| Record::try_from(record).ok()) {
+            if self.is_own(&record.member) {
+                self.merge_record(record, now);
+            }
+        }
+        if self.sequence == sequence {
+            return;
+        }
+        let answer = control::Rumour {
+            records: vec![(&self.record()).into()],
+            offer: None,
+        };
+        send(from, Body::Rumour(answer), out);
+        self.send_heartbeat(now, out);
+    }
+
+    pub(super) fn acknowledged(
+        &mut self,
+        from: SocketAddr,
+        ack: control::HeartbeatAck,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(sent) = self.heartbeat.answer(ack.id) else {
+            return;
+        };
+        let based = match self.synced {
+            Some(synced) if synced.from == from => synced.run == ack.collector,
+            _ => true,
+        };
+        self.restarted |= ack.former_incarnation > 0;
+        for record in &ack.members {
+            if let Ok(record) = Record::try_from(record) {
+                self.merge_record(record, now);
+            }
+        }
+        self.adopt_config(&ack, now);
+        let balancers = ack.balancers.iter().filter_map(|to| to.try_into().ok());
+        self.heartbeat.set_collectors(balancers.collect());
+        self.synced = based.then_some(Synced {
+            from,
+            run: ack.collector,
+            version: ack.members_version,
+        });
+        let current = based && ack.complete;
+        if !current {
+            self.heartbeat.schedule_now(now);
+        }
+        // After a lapse the lease is renewed only together with every change that was missed.
+        if current || self.heartbeat.is_leased(now) {
+            self.renew(sent, now);
+        }
+        if current {
+            self.synchronised(now, out);
+        }
+        self.send_heartbeat(now, out);
+    }
+
+    fn renew(&mut self, sent: Instant, now: Instant) {
+        let renewal = self.heartbeat.renew(sent, now);
+        if !renewal.lapsed {
+            return;
+        }
+        self.lapsed = Some(now);
+        self.mark_opening_uncertain();
+        self.pending.clear();
+        if let Some(view) = &mut self.view {
+            view.unsettle(&self.settings.member, now);
+        }
+        self.publish(now);
+    }
+
+    /// Marks flows that are not established yet as uncertain, because the member may have been
+    /// declared down and another one may have accepted copies of their SYNs. A member that a flow
+    /// was passed on to has to claim it.
+    fn mark_opening_uncertain(&mut self) {
+        for (flow, entry) in self.flows.iter_mut() {
+            if flow.protocol == Protocol::Udp || entry.phase != Phase::Opening {
+                continue;
+            }
+            match &mut entry.owner {
+                Owner::Local { .. } => entry.owner = Owner::Recovered(Evidence::Delivered),
+                Owner::Ceded { origin, .. } if *origin == Origin::Assigned => {
+                    *origin = Origin::Found;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn merge_record(&mut self, record: Record, now: Instant) {
+        if !self.is_own(&record.member) {
+            if record.state.is_arbiter() {
+                self.unresponsive.remove(&record.member);
+            }
+            if let Some(view) = &mut self.view {
+                view.merge(record, now);
+            }
+            return;
+        }
+        let own = self.settings.incarnation;
+        self.restarted |= record.incarnation < own;
+        self.superseded |= record.incarnation > own;
+        let declared_down = record.state == State::Down && self.state() != State::Down;
+        if record.incarnation == own && declared_down && record.sequence >= self.sequence {
+            self.sequence = record.sequence;
+            self.publish(now);
+        }
+    }
+
+    fn adopt_config(&mut self, ack: &control::HeartbeatAck, now: Instant) {
+        let generation = Generation(ack.generation);
+        if ack.service.is_empty() || (self.service.is_some() && generation <= self.generation) {
+            return;
+        }
+        // `null` means that the service is no longer configured.
+        let Ok(service) = serde_json::from_slice::<Option<config::Service>>(&ack.service) else {
+            return;
+        };
+        let other = |service: &config::Service| service.name.tag() != self.tag;
+        if service.as_ref().is_some_and(other) {
+            return;
+        }
+        let before = self.state();
+        // Established flows of a service that was removed still need its buckets and time-outs.
+        self.service = service.or_else(|| {
+            let addresses = Vec::new();
+            self.service
+                .take()
+                .map(|last| config::Service { addresses, ..last })
+        });
+        self.generation = generation;
+        self.configured = Some(now);
+        if self.state() != before {
+            self.publish(now);
+        }
+    }
+
+    /// Every change known to the collector has been merged.
+    fn synchronised(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if let Some(view) = &mut self.view {
+            view.set_complete();
+        }
+        let ready = self.server.is_some() && self.service.is_some();
+        if ready && !self.joined && self.recovery.is_none() {
+            self.recover(now, out);
+        }
+    }
+
+    /// Sends a heartbeat if one is due.
+    pub(super) fn send_heartbeat(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.view.is_none() {
+            return;
+        }
+        let Some(due) = self.heartbeat.due(now) else {
+            return;
+        };
+        if due.switched {
+            self.publish(now);
+            self.heartbeat.defer(now);
+        }
+        let synced = self.synced.filter(|synced| synced.from == due.to);
+        let heartbeat = control::Heartbeat {
+            id: due.id,
+            record: Some((&self.record()).into()),
+            members_version: synced.map_or(0, |synced| synced.version),
+            generation: self.generation.0,
+        };
+        send(due.to, Body::Heartbeat(heartbeat), out);
+    }
+
+    /// Shows in the record how many flows a draining agent still owns. The count is taken after the
+    /// drain began, so that a report of no flows is final.
+    pub(super) fn report_flows(&mut self, now: Instant) {
+        let open = match self.load.open {
+            0 => 0,
+            open => open.next_power_of_two(),
+        };
+        let open = (self.state() == State::Draining).then_some(open);
+        if open != self.open_flows {
+            self.open_flows = open;
+            self.publish(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/placement.rs
@@ -0,0 +1,172 @@
+//! Placement of new flows: accepted here, passed on or refused.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::admission::{Local, Room, Sample};
+use crate::decision::{Cause, Verdict};
+use crate::encap::Header;
+use crate::flow::{self, Entry, Origin, Owner};
+use crate::member::{Record, State};
+use crate::packet::{Flow, Packet};
+
+use super::{reply, Action, Agent, Output, Reason};
+
+/// Members that a flow can be passed on to are chosen among this many.
+const PASS_MAX: usize = 3;
+/// A flow is passed on only if this many hops remain. A packet arrives with 4 or 3, so a flow is
+/// passed on at most 3 times.
+const PASS_HOP_LIMIT: u8 = 2;
+
+impl Agent {
+    /// Places a new flow that this agent may decide about alone.
+    pub(super) fn place(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        if !self.may_decide(now) || self.server.is_none() {
+            return Action::Drop(Reason::Unleased);
+        }
+        if !self.serves(&packet.flow) {
+            return Action::Drop(Reason::OtherAddress);
+        }
+        let room = self.room(&packet.flow, now);
+        match room {
+            Room::Free => return self.accept(packet, now, out),
+            // The sender has chosen the least loaded candidate. Each further hop of a flow is one
+            // more member whose restart can break it.
+            Room::Bound if header.assigned || self.has_restarted(now) => {
+                return self.accept(packet, now, out);
+            }
+            Room::Full(Cause::Shed) => return self.refuse(packet, Cause::Shed, now, out),
+            Room::Bound | Room::Full(_) => {}
+        }
+        let target = self.pass_target(&packet.flow, room, now);
+        let cause = match room {
+            Room::Full(cause) => cause,
+            Room::Free | Room::Bound => Cause::Bound,
+        };
+        match target.filter(|_| header.hop_limit >= PASS_HOP_LIMIT) {
+            Some(target) => self.pass(header, packet, target, cause, now, out),
+            None if room == Room::Bound => self.accept(packet, now, out),
+            None => self.refuse(packet, cause, now, out),
+        }
+    }
+
+    fn room(&self, flow: &Flow, now: Instant) -> Room {
+        if self.state() == State::Draining && self.settings.mechanisms.drain {
+            return Room::Full(Cause::Draining);
+        }
+        let service = self.service.as_ref();
+        let weight = service.map_or(0, |service| service.flow_weight(flow));
+        match self.local_server() {
+            Some(local) => self.admission.room(&local, weight, now),
+            None => Room::Full(Cause::Limit),
+        }
+    }
+
+    fn local_server(&self) -> Option<Local> {
+        let server = self.server.as_ref()?;
+        let service = self.service.as_ref()?;
+        let announced = server.announcement.connections;
+        Some(Local {
+            load: self.load,
+            slots: server.announcement.slots,
+            connections: service
+                .connections
+                .map_or(announced, |limit| limit.min(announced)),
+            bound_percent: service.admission_percent,
+            heaviest: service.heaviest_weight(),
+            started: server.started,
+            cold_start: service.cold_start(),
+        })
+    }
+
+    /// The next eligible member of the order that is not known to be a worse choice.
+    fn pass_target(&self, flow: &Flow, room: Room, now: Instant) -> Option<Arc<Record>> {
+        let view = self.view.as_ref()?;
+        let is_better = |sample: &Sample| match room {
+            Room::Bound => sample.is_less_loaded(&self.load, self.own_slots()),
+            _ => !sample.is_full(),
+        };
+        view.eligible_after(&self.settings.member, self.bucket(flow))
+            .into_iter()
+            .take(PASS_MAX)
+            .find(|record| {
+                let sample = self.admission.get(&record.member, now);
+                sample.is_none_or(is_better)
+            })
+            .map(|record| Arc::new(record.clone()))
+    }
+
+    fn accept(&mut self, packet: &Packet<'_>, now: Instant, out: &mut Vec<Output>) -> Action {
+        self.own(packet, now);
+        self.decide(packet.flow, Verdict::Accepted, Cause::Load, None, out);
+        Action::Deliver
+    }
+
+    /// Records the local server as the owner.
+    pub(super) fn own(&mut self, packet: &Packet<'_>, now: Instant) {
+        let owner = Owner::Local { epoch: self.epoch };
+        let entry = Entry::new(owner, packet.kind, now);
+        self.flows.insert(packet.flow, entry);
+        self.load.open += 1;
+    }
+
+    fn pass(
+        &mut self,
+        header: &Header,
+        packet: &Packet<'_>,
+        to: Arc<Record>,
+        cause: Cause,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        let (data, member) = (to.data, to.member.clone());
+        self.admission.passed(&member);
+        let owner = Owner::Ceded {
+            to,
+            origin: Origin::Assigned,
+            confirmed: false,
+        };
+        let entry = Entry::new(owner, packet.kind, now);
+        self.flows.insert(packet.flow, entry);
+        self.decide(packet.flow, Verdict::Passed, cause, Some(member), out);
+        self.forward(header, data, true)
+    }
+
+    fn refuse(
+        &mut self,
+        packet: &Packet<'_>,
+        cause: Cause,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Action {
+        let until = now + flow::DUPLICATE_WINDOW;
+        self.record_refusal(packet, until, now);
+        self.decide(packet.flow, Verdict::Refused, cause, None, out);
+        reply(packet, out);
+        Action::Drop(Reason::Refused)
+    }
+
+    pub(super) fn record_refusal(&mut self, packet: &Packet<'_>, until: Instant, now: Instant) {
+        if self.settings.mechanisms.refusals {
+            let entry = Entry::new(Owner::Refused { until }, packet.kind, now);
+            self.flows.insert(packet.flow, entry);
+        } else {
+            self.flows.remove(&packet.flow);
+        }
+    }
+
+    /// Flows that the local server may hold now.
+    pub(super) fn limit(&self, now: Instant) -> u32 {
+        if self.state() == State::Draining {
+            return 0;
+        }
+        let local = self.local_server();
+        local.map_or(0, |local| self.admission.limit(&local, now))
+    }
+}
--- /dev/null
+++ b/src/agent/sampling.rs
@@ -0,0 +1,103 @@
+//! Expiry of flows, and samples of the other members' load.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use rand::seq::IteratorRandom;
+
+use crate::admission::{self, Load, Sample};
+use crate::flow;
+use crate::id::{Connections, Member, Slots};
+use crate::wire::{control, Body};
+
+use super::{send, Agent, Output, MAINTENANCE_PERIOD};
+
+impl Agent {
+    /// Expires flows and members, and samples the load of other members.
+    pub(super) fn maintain(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let timeouts = self.idle_timeouts();
+        let count = flow::expire(&mut self.flows, self.epoch, &timeouts, now);
+        self.load.update(count);
+        self.report_flows(now);
+        self.admission.expire(now);
+        self.confirmations
+            .retain(|_, asked| now.saturating_duration_since(asked.sent) < MAINTENANCE_PERIOD);
+        let own = &self.settings.member;
+        let Some(view) = &mut self.view else {
+            return;
+        };
+        view.expire(now);
+        let others = view.live().filter(|record| record.member != *own);
+        let count = admission::SAMPLES_PER_SECOND;
+        let targets: Vec<_> = others
+            .map(|record| record.control)
+            .choose_multiple(&mut self.rng, count);
+        for to in targets {
+            let load = control::Load {
+                id: self.next_id(),
+                service: self
+                    .view
+                    .as_ref()
+                    .map(|view| view.service().to_string())
+                    .unwrap_or_default(),
+                member: self.settings.member.to_string(),
+                flows: self.load.open,
+                activity: self.load.activity,
+                slots: self.own_slots().0,
+                limit: self.limit(now),
+            };
+            send(to, Body::Load(load), out);
+        }
+    }
+
+    pub(super) fn answer_load(
+        &mut self,
+        from: SocketAddr,
+        load: control::Load,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.is_for_service(&load.service) || self.server.is_none() {
+            return;
+        }
+        let sampled = Load {
+            open: load.flows,
+            activity: load.activity,
+        };
+        self.note_load(&load.member, sampled, load.slots, load.limit, now);
+        let answer = control::LoadAnswer {
+            id: load.id,
+            member: self.settings.member.to_string(),
+            flows: self.load.open,
+            activity: self.load.activity,
+            slots: self.own_slots().0,
+            limit: self.limit(now),
+        };
+        send(from, Body::LoadAnswer(answer), out);
+    }
+
+    pub(super) fn load_answered(&mut self, answer: control::LoadAnswer, now: Instant) {
+        let load = Load {
+            open: answer.flows,
+            activity: answer.activity,
+        };
+        self.note_load(&answer.member, load, answer.slots, answer.limit, now);
+    }
+
+    fn note_load(&mut self, member: &str, load: Load, slots: u32, limit: u32, now: Instant) {
+        let Ok(member) = member.parse::<Member>() else {
+            return;
+        };
+        let view = self.view.as_ref();
+        if view.is_none_or(|view| view.get(&member).is_none()) {
+            return;
+        }
+        let sample = Sample {
+            load,
+            slots: Slots(slots),
+            connections: Connections(limit),
+            taken: now,
+        };
+        self.admission.sample(member, sample);
+    }
+}
--- /dev/null
+++ b/src/agent/task.rs
@@ -0,0 +1,304 @@
+//! Claims and lookups in progress, with the packets that wait for them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::encap::Header;
+use crate::id::Member;
+use crate::member::Record;
+use crate::packet::{Flow, Kind, Packet};
+
+/// Time to wait for the answer to a claim or to a round of a lookup.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
+/// Messages in the rounds of a lookup.
+pub const LOOKUP_ROUNDS: [usize; 3] = [4, 16, 64];
+/// Members that a lookup asks, with those named by others.
+pub const TARGETS_MAX: usize = 100;
+/// Packets held for claims and lookups.
+pub const HELD_MAX: usize = 4096;
+/// Bits of a message id that number the member asked.
+const INDEX_BITS: u32 = 16;
+
+/// A packet that waits for a claim or a lookup.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Header that it arrived with.
+    pub header: Header,
+    /// What it means for its flow.
+    pub kind: Kind,
+    /// The IP packet.
+    pub bytes: Vec<u8>,
+}
+
+impl Held {
+    /// Copies a packet.
+    pub fn new(header: &Header, packet: &Packet<'_>) -> Self {
+        Self {
+            header: *header,
+            kind: packet.kind,
+            bytes: packet.bytes.to_vec(),
+        }
+    }
+
+    /// The packet, as a packet of `flow`.
+    pub fn packet(&self, flow: Flow) -> Packet<'_> {
+        Packet {
+            flow,
+            kind: self.kind,
+            bytes: &self.bytes,
+        }
+    }
+}
+
+/// A claim of a flow.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// The members to claim from, in order.
+    pub members: Vec<Arc<Record>>,
+    /// Index of the member that is being asked.
+    pub index: usize,
+    /// Times it was asked.
+    pub attempts: u8,
+    /// A member that is down and had the flow before. It is asked first.
+    pub former: Option<Member>,
+}
+
+/// Who wants to know the owner of a flow.
+#[derive(Clone, Debug)]
+pub enum Asker {
+    /// A packet that waits.
+    Packet(Held),
+    /// A member of another service that now has the flow's address.
+    Member {
+        /// Its control address.
+        to: SocketAddr,
+        /// The id of its message.
+        id: u64,
+    },
+}
+
+/// What a member asked by a lookup has answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Nothing yet.
+    None,
+    /// It doesn't know the flow.
+    Unknown,
+    /// It doesn't know the flow, but lost its records in a restart.
+    Lost(Arc<Record>),
+    /// It owned the flow before a restart or a lapse of its lease.
+    Former(Arc<Record>),
+    /// It names a member as the owner, perhaps the asking one. Its record may be old, so only an
+    /// answer of the owner itself ends the lookup.
+    Named(Arc<Record>),
+    /// It granted a member's claim and doesn't know what the claimant did with the flow.
+    Granted(Arc<Record>),
+}
+
+/// A lookup of a flow's owner.
+#[derive(Clone, Debug)]
+pub struct Lookup {
+    /// Who asked.
+    pub asker: Asker,
+    /// Control addresses in the order of asking; `None` for members that are down.
+    pub targets: Vec<Option<SocketAddr>>,
+    /// The answers of the targets.
+    pub replies: Vec<Reply>,
+    /// Targets asked so far.
+    pub asked: usize,
+    /// Rounds sent so far.
+    pub rounds: usize,
+}
+
+impl Lookup {
+    /// A lookup that has not asked anybody.
+    pub fn new(asker: Asker, mut targets: Vec<Option<SocketAddr>>) -> Self {
+        targets.truncate(LOOKUP_ROUNDS.iter().sum());
+        Self {
+            asker,
+            replies: vec![Reply::None; targets.len()],
+            targets,
+            asked: 0,
+            rounds: 0,
+        }
+    }
+
+    /// Whether every member asked so far has answered or is down.
+    pub fn is_round_answered(&self) -> bool {
+        (0..self.asked)
+            .all(|index| self.replies[index] != Reply::None || self.targets[index].is_none())
+    }
+
+    /// Whether every target answered.
+    pub fn is_complete(&self) -> bool {
+        self.replies.iter().all(|reply| *reply != Reply::None)
+    }
+
+    /// Notes an answer that names another member than the one asked. If that member is not among
+    /// the targets, it is the next to be asked.
+    pub fn hint(&mut self, index: usize, reply: Reply, to: Option<SocketAddr>) {
+        self.replies[index] = reply;
+        if to.is_some() && !self.targets.contains(&to) && self.targets.len() < TARGETS_MAX {
+            self.targets.insert(self.asked, to);
+            self.replies.insert(self.asked, Reply::None);
+        }
+    }
+
+    /// The likeliest owner of a flow whose owner has lost its record, by what the members know.
+    pub fn former_owner(&self, own: &Member) -> Option<&Arc<Record>> {
+        // A member that has not restarted and doesn't know the flow never owned it.
+        let forgot = |owner: &Record| {
+            let index = self
+                .targets
+                .iter()
+                .position(|to| *to == Some(owner.control));
+            index.is_some_and(|index| matches!(self.replies[index], Reply::Lost(_)))
+        };
+        let candidate = |owner: &Record| owner.member == *own || forgot(owner);
+        // A better grade of knowledge first; for one grade, the asking member first.
+        let grade = |reply: &'_ Reply| match reply {
+            Reply::Named(owner) if owner.member == *own => 0,
+            Reply::Former(_) => 1,
+            Reply::Named(owner) if candidate(owner) => 2,
+            Reply::Granted(owner) if owner.member == *own => 3,
+            Reply::Granted(owner) if candidate(owner) => 4,
+            _ => 5,
+        };
+        let best = self.replies.iter().min_by_key(|reply| grade(reply))?;
+        match best {
+            Reply::Named(owner) | Reply::Former(owner) | Reply::Granted(owner) => {
+                (grade(best) < 5).then_some(owner)
+            }
+            _ => None,
+        }
+    }
+
+    /// The first member in the order that lost its records.
+    pub fn first_lost(&self) -> Option<&Arc<Record>> {
+        self.replies.iter().find_map(|reply| match reply {
+            Reply::Lost(member) => Some(member),
+            _ => None,
+        })
+    }
+
+    /// The indices to ask in the next round, or `None` after the last one.
+    ///
+    /// Members that have not answered are asked again, so that a lost message doesn't end a lookup
+    /// without a result.
+    pub fn next_round(&mut self) -> Option<Vec<usize>> {
+        let is_last = self.rounds >= LOOKUP_ROUNDS.len() || self.is_round_answered();
+        if self.asked == self.targets.len() && is_last {
+            return None;
+        }
+        let silent = |index: &usize| self.replies[*index] == Reply::None;
+        let mut indices: Vec<_> = (0..self.asked).filter(silent).collect();
+        let size = *LOOKUP_ROUNDS.get(self.rounds).unwrap_or(&1);
+        let start = self.asked;
+        self.asked = (start + size).min(self.targets.len());
+        self.rounds += 1;
+        indices.extend(start..self.asked);
+        Some(indices)
+    }
+}
+
+/// What is being asked about a flow.
+#[derive(Clone, Debug)]
+pub enum Task {
+    /// The flow is new here.
+    Claim(Claim, Held),
+    /// The flow exists and its owner is unknown here.
+    Lookup(Lookup),
+}
+
+/// A task with its number and time limit.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// Number that its message ids contain.
+    pub number: u64,
+    /// When to repeat or give up.
+    pub due: Instant,
+    /// The task.
+    pub task: Task,
+}
+
+impl Pending {
+    /// The id of the message to the member with this index.
+    pub fn id(&self, index: usize) -> u64 {
+        self.number << INDEX_BITS | index as u64
+    }
+}
+
+/// A question to the member that a flow was ceded to.
+#[derive(Clone, Copy, Debug)]
+pub struct Confirmation {
+    /// Id of the message.
+    pub id: u64,
+    /// Control address of the member.
+    pub to: SocketAddr,
+    /// When it was sent.
+    pub sent: Instant,
+}
+
+/// All tasks. Invariant: at most one for a flow, [`HELD_MAX`] in total.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    pending: BTreeMap<Flow, Pending>,
+    flows: BTreeMap<u64, Flow>,
+    numbers: u64,
+}
+
+impl Table {
+    /// Whether a task for the flow is in progress.
+    pub fn contains(&self, flow: &Flow) -> bool {
+        self.pending.contains_key(flow)
+    }
+
+    /// Whether no more packets can be held.
+    pub fn is_full(&self) -> bool {
+        self.pending.len() >= HELD_MAX
+    }
+
+    /// Numbers a new task.
+    pub fn number(&mut self, task: Task, now: Instant) -> Pending {
+        self.numbers += 1;
+        Pending {
+            number: self.numbers,
+            due: now + ANSWER_TIMEOUT,
+            task,
+        }
+    }
+
+    /// Adds a task, or puts one back.
+    pub fn insert(&mut self, flow: Flow, pending: Pending) {
+        self.flows.insert(pending.number, flow);
+        self.pending.insert(flow, pending);
+    }
+
+    /// Takes out a flow's task.
+    pub fn take(&mut self, flow: &Flow) -> Option<Pending> {
+        let pending = self.pending.remove(flow)?;
+        self.flows.remove(&pending.number);
+        Some(pending)
+    }
+
+    /// Takes out the task that sent a message, with the index of the member asked.
+    pub fn take_by_id(&mut self, id: u64) -> Option<(Flow, Pending, usize)> {
+        let flow = *self.flows.get(&(id >> INDEX_BITS))?;
+        let pending = self.take(&flow)?;
+        Some((flow, pending, (id & ((1 << INDEX_BITS) - 1)) as usize))
+    }
+
+    /// The flows whose tasks are due.
+    pub fn due(&self, now: Instant) -> Vec<Flow> {
+        let due = self.pending.iter().filter(|(_, task)| task.due <= now);
+        due.map(|(flow, _)| *flow).collect()
+    }
+
+    /// Drops all tasks with their packets.
+    pub fn clear(&mut self) {
+        self.pending.clear();
+        self.flows.clear();
+    }
+}
--- a/src/collector.rs
+++ b/src/collector.rs
@@ -10,11 +10,12 @@
 
 use prost::Message as _;
 
-use crate::control::View;
+use crate::fleet::View;
+use crate::hash::hash_bytes;
 use crate::id::{Domain, Generation, Member, Service, Slots};
 use crate::member::{Entry, Record, Role, State, Table, Tag};
 use crate::output::{Event, Output};
-use crate::rank::{hash_bytes, score};
+use crate::rank::score;
 use crate::wire::{control, Body, MESSAGE_MAX_BYTES};
 
 /// Interval between the heartbeats of a member.
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 
 use crate::catalog::{Catalog, Offer};
 use crate::collector::Collector;
+use crate::fleet::View;
 use crate::gossip::Gossip;
 use crate::id::{Digest, Generation, Incarnation, Member, Sequence};
 use crate::member::{Own, Record, State, Table, Tag, RECORDS_MAX};
@@ -28,24 +29,6 @@
 /// Larger fleets ask for the status instead.
 pub const REPORTERS_MAX: usize = 32;
 
-/// What a process knows of the system.
-#[derive(Clone, Debug)]
-pub struct View {
-    /// The process itself.
-    pub own: Own,
-    /// The members.
-    pub table: Table,
-    /// The configuration in force.
-    pub catalog: Catalog,
-}
-
-impl View {
-    /// The name of the process.
-    pub fn me(&self) -> Member {
-        self.own.record().member.clone()
-    }
-}
-
 /// The view of a balancer, for one that is starting.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::catalog::Offer;
-use crate::control::View;
+use crate::fleet::View;
 use crate::id::{Domain, Incarnation, Sequence};
 use crate::member::{Record, Role, State, Table, Tag, GROUPS};
 use crate::output::{Event, Output};
--- a/src/id.rs
+++ b/src/id.rs
@@ -178,7 +178,7 @@
     ///
     /// Validation rejects configurations in which two services share a tag.
     pub fn tag(&self) -> ServiceTag {
-        let hash = crate::rank::hash_bytes(self.0.as_bytes());
+        let hash = crate::hash::hash_bytes(self.0.as_bytes());
         ServiceTag(hash as u32)
     }
 }
--- a/src/member.rs
+++ b/src/member.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
+use crate::hash::hash_bytes;
 use crate::id::{Connections, Domain, Generation, Incarnation, Member, Sequence, Service, Slots};
-use crate::rank::hash_bytes;
 
 /// What a member does.
 #[derive(
--- a/src/packet.rs
+++ b/src/packet.rs
@@ -9,7 +9,7 @@
 };
 use strum::{Display, EnumString};
 
-use crate::rank::hash_bytes;
+use crate::hash::hash_bytes;
 
 /// Transport protocol of a flow.
 #[derive(
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -2,27 +2,14 @@
 //!
 //! Each process computes the same order from the same members, whatever order they are listed in.
 
-use std::hash::Hasher;
-
-use siphasher::sip::SipHasher13;
-
+use crate::hash::hash_bytes;
 use crate::id::{Bucket, Member, Slots};
 use crate::member::Record;
 use crate::packet::Flow;
 
-/// Keys of the placement hash. All processes must use the same keys, so they are not secret.
-const PLACEMENT_KEYS: (u64, u64) = (0x666c_616d_696e_676f, 0x6f66_616c_6c00_0001);
-
 /// Weights above this count as this: the cost of a score grows with the weight.
 pub const WEIGHT_MAX: Slots = Slots(256);
 
-/// Hashes bytes with the placement keys.
-pub fn hash_bytes(bytes: &[u8]) -> u64 {
-    let mut hasher = SipHasher13::new_with_keys(PLACEMENT_KEYS.0, PLACEMENT_KEYS.1);
-    hasher.write(bytes);
-    hasher.finish()
-}
-
 /// The bucket of a flow in a service with `buckets` buckets.
 pub fn bucket(flow: &Flow, buckets: u32) -> Bucket {
     // Invariant: `buckets` is a power of two (checked by `config`).
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -12,11 +12,12 @@
 
 use crate::catalog::{Offer, Standing};
 use crate::collector::{first_outside, is_served};
-use crate::control::View;
+use crate::fleet::View;
+use crate::hash::hash_bytes;
 use crate::id::{Bucket, Domain, Slots};
 use crate::member::{Record, Table, Tag};
 use crate::output::{Event, Output};
-use crate::rank::{hash_bytes, score};
+use crate::rank::score;
 use crate::store::{
     Answer, Call, Collection, Error, Head, Key, Object, Operation, Outcome, Value, Version,
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -5,7 +5,7 @@
 
 use crate::catalog::Offer;
 use crate::config::{Address, Config, Former, BUCKETS_DEFAULT};
-use crate::control::View;
+use crate::fleet::View;
 use crate::id::{Member, Service as Name};
 use crate::member::{Entry, Record, Role, State};
 use crate::routing::{Arbiter, Service, Table};
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -12,6 +12,7 @@
 
 use crate::config::Address;
 use crate::encap::{Header, HOP_LIMIT};
+use crate::hash::hash_bytes;
 use crate::id::{Bucket, Generation, Member, ServiceTag, Slots};
 use crate::packet::{Flow, Packet};
 use crate::rank;
@@ -40,7 +41,7 @@
 
 impl Ranked {
     fn new(arbiter: Arbiter) -> Self {
-        let hash = rank::hash_bytes(arbiter.member.as_str().as_bytes());
+        let hash = hash_bytes(arbiter.member.as_str().as_bytes());
         Self { hash, arbiter }
     }
 
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
+use crate::hash::hash_bytes;
 use crate::id::{Bucket, Incarnation, Sequence, Slots};
 use crate::packet::Flow;
 use crate::rank;
@@ -54,7 +55,7 @@
 impl Member {
     /// Identifies the server's process.
     pub fn process(&self) -> Process {
-        Process(rank::hash_bytes(self.server.as_bytes()) ^ self.started)
+        Process(hash_bytes(self.server.as_bytes()) ^ self.started)
     }
 }
 
@@ -237,7 +238,7 @@
         let mut order: Vec<_> = self.entries.values().filter(|entry| fits(entry)).collect();
         order.sort_by_cached_key(|entry| {
             let name = entry.member.agent.to_string();
-            let hash = rank::hash_bytes(name.as_bytes());
+            let hash = hash_bytes(name.as_bytes());
             std::cmp::Reverse(rank::score(hash, entry.member.slots, bucket))
         });
         order
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 
-use flamingofall::claim::{batch, BATCH_FLOWS, CEDED_SECTION, GRANTED_SECTION, OWNED_SECTION};
+use flamingofall::agent::recovery::{
+    batch, BATCH_FLOWS, CEDED_SECTION, GRANTED_SECTION, OWNED_SECTION,
+};
 use flamingofall::id::{Bucket, Member, Slots};
 use flamingofall::packet::{Flow, Protocol};
 use flamingofall::rank;
