--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -33,6 +33,9 @@
 /// A snapshot is due when the flows that it lacks, times the time that they have been at risk, is
 /// this long: the fewer flows, the longer it waits.
 const SAVE_RISK: Duration = Duration::from_secs(4);
+/// Flows whose requests may be repeated that are as urgent to save as one whose requests may not:
+/// their clients lose a round trip, not a request.
+const REPEATABLE_PER_ONCE: u32 = 10;
 /// A snapshot is due at the latest after this time, because clients accept a reset only near their
 /// last acknowledgement.
 const SAVE_EVERY: Duration = Duration::from_secs(10);
@@ -113,6 +116,7 @@
     lookup: bool,
     passes: u8,
     complete: bool,
+    at_most_once: bool,
     candidates: Vec<SocketAddr>,
 }
 
@@ -362,15 +366,18 @@
                 self.pass(segment, forward, "busy", out);
                 return;
             }
-            self.flows
+            let held = self
+                .flows
                 .entry(flow)
                 .or_insert_with(|| Held::new(Some(forward.origin), now));
+            held.at_most_once = forward.at_most_once;
         } else {
             let held = self
                 .flows
                 .entry(flow)
                 .or_insert_with(|| Held::new(Some(forward.origin), now));
             held.acknowledged = segment.acknowledgement;
+            held.at_most_once = forward.at_most_once;
             held.seen = now;
             held.asks(&segment, now);
             if forward.lookup {
@@ -394,6 +401,7 @@
             lookup: forward.lookup,
             passes: forward.passes,
             complete: forward.complete,
+            at_most_once: forward.at_most_once,
             candidates: forward.candidates,
         });
         out.push(Output::Deliver {
@@ -471,6 +479,7 @@
             candidates: pending.candidates,
             passes: pending.passes,
             complete: pending.complete,
+            at_most_once: pending.at_most_once,
             packet,
         };
         self.pass(segment, forward, "returned", out);
@@ -557,7 +566,9 @@
         let missing = open
             .clone()
             .filter(|(flow, _)| !self.saved.contains(&flow.source));
-        self.risk += SAVE_CHECK_EVERY * missing.count() as u32;
+        let (once, repeatable): (Vec<_>, Vec<_>) = missing.partition(|(_, held)| held.at_most_once);
+        self.risk += SAVE_CHECK_EVERY * once.len() as u32;
+        self.risk += SAVE_CHECK_EVERY * repeatable.len() as u32 / REPEATABLE_PER_ONCE;
         if self.risk < SAVE_RISK && now < self.save_due {
             return;
         }
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -13,7 +13,7 @@
 use super::message::{Announce, Digest, Forward, Message, Owner};
 use super::note::{Note, Topic};
 use super::roster::{Entry, Member, Process, Roster, State};
-use super::routes::{Routes, Table};
+use super::routes::{Repeat, Routes, Table};
 use super::segment::Segment;
 
 /// How often [`Balancer::tick`] is meant to be called.
@@ -115,7 +115,7 @@
     /// Whether the balancer can serve: it has a configuration, knows agents and hears them.
     pub fn ready(&self) -> bool {
         let informed = self.listed || !self.roster.is_empty();
-        self.routes.generation() > Generation(0) && informed && !self.isolated()
+        self.configured() && informed && !self.isolated()
     }
 
     /// Whether all agents that this balancer has heard before are silent.
@@ -126,6 +126,11 @@
         heard.len() >= ISOLATED_AGENTS && heard.into_iter().max().is_some_and(silent)
     }
 
+    /// Whether the balancer has a configuration, without which it can place no flow.
+    pub fn configured(&self) -> bool {
+        self.routes.generation() > Generation(0)
+    }
+
     /// Generation of the configuration in force.
     pub fn generation(&self) -> Generation {
         self.routes.generation()
@@ -210,7 +215,7 @@
                 .get(&agent)
                 .is_none_or(|entry| entry.member.state == State::Gone);
             if confirmed && !gone {
-                let forward = self.forward(packet, Vec::new());
+                let forward = self.forward(&flow, packet, Vec::new());
                 out.push(Output::Send(agent, Message::Forward(forward)));
                 return;
             }
@@ -345,7 +350,7 @@
             hedges: 0,
             due: now + HEDGE_AFTER,
         });
-        let mut forward = self.forward(packet, rest);
+        let mut forward = self.forward(&flow, packet, rest);
         forward.service = service;
         out.push(Output::Send(first, Message::Forward(forward)));
     }
@@ -385,10 +390,11 @@
             ));
             let rest = rest.take(CANDIDATES_MAX).collect();
             let (service, packet) = (opening.service.clone(), opening.packet.clone());
+            let flow = opening.flow;
             opening.hedges += 1;
             opening.due = now + HEDGE_AFTER;
             self.opening.push_back(opening);
-            let mut forward = self.forward(packet, rest);
+            let mut forward = self.forward(&flow, packet, rest);
             forward.service = service;
             out.push(Output::Send(next, Message::Forward(forward)));
         }
@@ -430,15 +436,17 @@
             ));
         }
         let first = holders.remove(0);
-        let mut forward = self.forward(packet, holders);
+        let mut forward = self.forward(&flow, packet, holders);
         forward.lookup = true;
         forward.complete = complete;
         out.push(Output::Send(first, Message::Forward(forward)));
     }
 
     /// A packet on its way, for an open flow whose agent is known unless the caller changes that.
-    fn forward(&self, packet: Vec<u8>, candidates: Vec<SocketAddr>) -> Forward {
+    fn forward(&self, flow: &Flow, packet: Vec<u8>, candidates: Vec<SocketAddr>) -> Forward {
+        let route = self.routes.get(&flow.destination);
         Forward {
+            at_most_once: route.is_none_or(|route| route.repeat == Repeat::AtMostOnce),
             service: String::new(),
             origin: self.address,
             lookup: false,
@@ -537,24 +545,25 @@
     }
 
     fn merge(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
-        let line = format!(
-            "agent={} service={} server={} state={} incarnation={} sequence={} \
-             direct={direct}",
-            member.agent,
-            member.service,
-            member.server,
-            member.state,
-            member.incarnation,
-            member.sequence
-        );
+        let agent = member.agent;
+        if !self.roster.merge(member, direct, now) {
+            return;
+        }
+        let Some(Entry { member, .. }) = self.roster.get(&agent) else {
+            return;
+        };
+        out.push(note(
+            Topic::Member,
+            format!(
+                "agent={agent} service={} server={} state={} incarnation={} sequence={} \
+                 direct={direct}",
+                member.service, member.server, member.state, member.incarnation, member.sequence
+            ),
+        ));
         let ended = member.state == State::Gone;
-        let (agent, process) = (member.agent, member.process());
-        let named = !member.server.is_empty();
-        if self.roster.merge(member, direct, now) {
-            out.push(note(Topic::Member, line));
-            if named {
-                self.end_flows(agent, (!ended).then_some(process), out);
-            }
+        let process = member.process();
+        if !member.server.is_empty() {
+            self.end_flows(agent, (!ended).then_some(process), out);
         }
     }
 
--- a/src/steering/held.rs
+++ b/src/steering/held.rs
@@ -22,6 +22,8 @@
     pub acknowledged: u32,
     /// The server has no more data to send.
     pub finished: bool,
+    /// Whether a request that ends without an answer must not be repeated.
+    pub at_most_once: bool,
     /// The balancer that sent the flow's opening packet or its last lookup.
     pub origin: Option<SocketAddr>,
     /// The origin waits to hear who holds the flow.
@@ -62,6 +64,7 @@
             sent: None,
             acknowledged: 0,
             finished: false,
+            at_most_once: true,
             origin,
             asked: false,
             since: now,
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -40,6 +40,8 @@
     pub passes: u8,
     /// Whether every agent known to the balancer is among those tried.
     pub complete: bool,
+    /// Whether a request on the flow's route must not be repeated when its outcome is unknown.
+    pub at_most_once: bool,
     /// The packet.
     #[serde(with = "serde_bytes")]
     pub packet: Vec<u8>,
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -78,6 +78,8 @@
     pub flows: u32,
     /// Flows opened through this balancer since the last announcement.
     pub opened: u32,
+    /// Identifies the agent in the order of a flow's candidates.
+    hash: u64,
 }
 
 impl Entry {
@@ -117,6 +119,7 @@
         let key = member.agent;
         let Some(entry) = self.entries.get_mut(&key) else {
             let entry = Entry {
+                hash: hash_bytes(key.to_string().as_bytes()),
                 member,
                 heard: now,
                 direct,
@@ -237,9 +240,7 @@
         let bucket = Bucket(flow.hash() as u32);
         let mut order: Vec<_> = self.entries.values().filter(|entry| fits(entry)).collect();
         order.sort_by_cached_key(|entry| {
-            let name = entry.member.agent.to_string();
-            let hash = hash_bytes(name.as_bytes());
-            std::cmp::Reverse(rank::score(hash, entry.member.slots, bucket))
+            std::cmp::Reverse(rank::score(entry.hash, entry.member.slots, bucket))
         });
         order
     }
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -106,6 +106,7 @@
 
 fn forward(service: &str, candidates: Vec<SocketAddr>, lookup: bool) -> Forward {
     Forward {
+        at_most_once: true,
         service: service.into(),
         origin: addr("10.0.0.1:7720"),
         lookup,
@@ -482,6 +483,53 @@
     }
 }
 
+// Guards against confirmations whose clients aren't told that their server has lost power, and
+// against writes for flows that any client can repeat.
+#[parameterized(
+    confirmations = { true, 5 },
+    repeatable = { false, 11 },
+)]
+fn snapshot_urgency(at_most_once: bool, seconds: u64) {
+    let now = Instant::now();
+    let mut agent = ready_agent(now);
+    for kind in [Kind::Open, Kind::Data] {
+        let mut forward = forward("portal", Vec::new(), false);
+        forward.at_most_once = at_most_once;
+        agent_gets(&mut agent, segment(flow(1), kind, 0), forward, now);
+    }
+    let answer = segment(flow(1), Kind::Data, 0);
+    agent.outbound(answer, vec![1], now, &mut Vec::new());
+    let saved = (0..).find(|tick| {
+        let mut out = Vec::new();
+        agent.tick(now + agent::TICK * *tick, &mut out);
+        out.iter().any(|o| matches!(o, agent::Output::Save(_)))
+    });
+    let after = agent::TICK * saved.unwrap();
+    assert!(after <= Duration::from_secs(seconds), "{after:?}");
+    let sooner = Duration::from_secs(seconds - 2);
+    assert!(after >= sooner, "{after:?}");
+}
+
+// Guards against an agent that takes a route's confirmations for requests that may be repeated.
+#[parameterized(
+    at_most_once = { Repeat::AtMostOnce, true },
+    idempotent = { Repeat::Idempotent, false },
+    download = { Repeat::Download, false },
+)]
+fn repeat_forwarded(repeat: Repeat, expected: bool) {
+    let now = Instant::now();
+    let mut balancer = balancer(1, now);
+    let mut out = Vec::new();
+    let mut changed = routes(2, &[("portal", 1)]);
+    changed.routes[0].repeat = repeat;
+    balancer.configure(changed, "test", &mut out);
+    for kind in [Kind::Open, Kind::Data] {
+        out.clear();
+        balancer.packet(segment(flow(1), kind, 5), vec![0], now, &mut out);
+        assert_eq!(forwards(&out)[0].1.at_most_once, expected, "{kind}");
+    }
+}
+
 // Guards against a balancer that searches among the few agents it knows so far and takes the
 // answer for final because it has learned of the others meanwhile.
 #[test]
