Give new flows last to servers that answer unlike the others of their service

Cause: servers that fail while they report themselves healthy (errors at once, slow, flows ended) got their share of new flows, or more, because an agent whose server fails at once shows no load.

Change: each agent measures the time from a request's bytes to the first bytes of the answer and the share of requests that end without one, over 3 s, and announces both. A balancer compares the ready servers of a service each 200 ms; those four times faster or slower than the median, or failing 30% more, get new flows last, at most a third of a service. Nothing reads the flows' bytes.

Ruled out on the way: ends of flows without an answer as they arrive.

Tests: pace (13 cases), seen failing for overtaken answers.

--- a/src/steering/agent.rs
+++ b/src/steering/agent.rs
@@ -10,6 +10,7 @@
 use super::held::Held;
 use super::message::{Announce, Forward, Message, Owner};
 use super::note::{Note, Topic};
+use super::pace::Meter;
 use super::roster::{Member, State};
 use super::segment::{Kind, Segment};
 use super::snapshot::{Saved, Snapshot};
@@ -135,6 +136,8 @@
     balancers: HashMap<SocketAddr, Instant>,
     announce_due: Instant,
     expire_due: Instant,
+    /// How the server answers.
+    meter: Meter,
     save_check: Instant,
     save_due: Instant,
     /// Clients' ends in the last snapshot.
@@ -175,6 +178,7 @@
             balancers: HashMap::new(),
             announce_due: now,
             expire_due: now,
+            meter: Meter::default(),
             save_check: now,
             save_due: now + SAVE_EVERY,
             saved: HashSet::new(),
@@ -504,9 +508,18 @@
             held.open = true;
             if segment.length > 0 {
                 if let Some(since) = held.waiting.take() {
-                    out.push(Output::Latency(now.saturating_duration_since(since)));
+                    let time = now.saturating_duration_since(since);
+                    self.meter.record(Some(time), now);
+                    out.push(Output::Latency(time));
                 }
             }
+            if let Some(since) = held.waiting.take_if(|_| segment.ends()) {
+                // The end of a flow may overtake the answer, which its sequence number counts.
+                let answered =
+                    segment.kind == Kind::Finish && segment.sequence != held.acknowledged;
+                let time = answered.then(|| now.saturating_duration_since(since));
+                self.meter.record(time, now);
+            }
         }
         held.finished |= segment.kind == Kind::Finish;
         if accepted.is_some() || held.asked {
@@ -599,6 +612,7 @@
             member: self.member.clone(),
             busy: self.busy(now),
             flows: self.flows.values().filter(|held| held.lasts()).count() as u32,
+            pace: self.meter.pace(now),
             balancers: self.balancers.len() as u32,
         };
         for balancer in self.balancers.keys() {
@@ -632,6 +646,7 @@
     /// Resets the flows of a server that has ended.
     fn server_ended(&mut self, cause: &str, out: &mut Vec<Output>) {
         self.saved.clear();
+        self.meter.clear();
         let flows: Vec<_> = self
             .flows
             .drain()
--- a/src/steering/balancer.rs
+++ b/src/steering/balancer.rs
@@ -25,6 +25,10 @@
 const HEDGE_AFTER: Duration = Duration::from_millis(60);
 /// Agents asked for one opening packet before the client sends its next copy.
 const HEDGES_MAX: u8 = 2;
+/// Time between comparisons of the servers of each service: half of an announcement's period.
+const JUDGE_EVERY: Duration = Duration::from_millis(200);
+/// Time between removals of what is out of date.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
 /// Flows without packets are forgotten after this time; their next packet is a lookup.
 const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
 /// Most candidates named in one packet, which keeps a datagram below 2 KB.
@@ -89,6 +93,7 @@
     started: Instant,
     ticked: Instant,
     digest_due: Instant,
+    judge_due: Instant,
     expire_due: Instant,
     /// Whether the directory's list of agents was read.
     listed: bool,
@@ -107,6 +112,7 @@
             started: now,
             ticked: now,
             digest_due: now,
+            judge_due: now,
             expire_due: now,
             listed: false,
         }
@@ -265,12 +271,16 @@
         }
         self.ticked = now;
         self.hedge(now, out);
+        if now >= self.judge_due {
+            self.judge_due = now + JUDGE_EVERY;
+            self.judge(out);
+        }
         if now >= self.digest_due {
             self.digest_due = now + DIGEST_EVERY;
             self.send_digests(now, out);
         }
         if now >= self.expire_due {
-            self.expire_due = now + Duration::from_secs(1);
+            self.expire_due = now + EXPIRE_EVERY;
             self.roster.expire(now);
             self.flows
                 .retain(|_, known| now.saturating_duration_since(known.seen) < FORGET_FLOW_AFTER);
@@ -279,6 +289,22 @@
         }
     }
 
+    /// Finds servers that answer unlike the others of their service.
+    fn judge(&mut self, out: &mut Vec<Output>) {
+        for agent in self.roster.judge() {
+            let outlier = self.roster.get(&agent).is_some_and(|entry| entry.outlier);
+            let pace = self.roster.pace(&agent);
+            out.push(note(
+                Topic::Outlier,
+                format!(
+                    "agent={agent} outlier={outlier} mean_ms={} failed_permille={}",
+                    pace.map_or(0, |pace| pace.mean.as_millis()),
+                    pace.map_or(0, |pace| pace.failed)
+                ),
+            ));
+        }
+    }
+
     /// A packet to an address without a route. Nothing is answered: a reset could end a flow of a
     /// configuration that this balancer hasn't seen yet.
     fn unroutable(&mut self, segment: Segment, out: &mut Vec<Output>) {
@@ -536,8 +562,8 @@
 
     fn announce(&mut self, announce: Announce, now: Instant, out: &mut Vec<Output>) {
         let agent = announce.member.agent;
-        self.merge(announce.member, true, now, out);
-        self.roster.load(&agent, announce.busy, announce.flows);
+        self.merge(announce.member.clone(), true, now, out);
+        self.roster.load(&announce);
         if announce.balancers as usize != self.peers.len() + 1 {
             let balancers = self.balancers();
             out.push(Output::Send(agent, Message::Balancers(balancers)));
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -6,6 +6,7 @@
 
 use crate::id::Generation;
 
+use super::pace::Pace;
 use super::roster::{Member, Process};
 
 /// One datagram.
@@ -71,6 +72,8 @@
     pub busy: u32,
     /// Flows that the server holds.
     pub flows: u32,
+    /// How the server has answered lately, if it had enough requests.
+    pub pace: Option<Pace>,
     /// Number of balancers that the agent knows, so that a balancer sees when it lacks some.
     pub balancers: u32,
 }
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -12,6 +12,7 @@
 mod known;
 pub mod message;
 pub mod note;
+pub mod pace;
 pub mod roster;
 pub mod routes;
 pub mod segment;
--- a/src/steering/note.rs
+++ b/src/steering/note.rs
@@ -35,6 +35,8 @@
     ConfigurationAdopted,
     /// An agent's record is new or has changed.
     Member,
+    /// A server answers unlike the others of its service, or no longer does.
+    Outlier,
     /// The server beside the agent changed its state.
     ServerState,
     /// A server's call was not used.
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -12,6 +12,9 @@
 use crate::packet::Flow;
 use crate::rank;
 
+use super::message::Announce;
+use super::pace::{self, Pace};
+
 /// What an agent's server is ready for.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, Serialize, Deserialize,
@@ -78,6 +81,10 @@
     pub flows: u32,
     /// Flows opened through this balancer since the last announcement.
     pub opened: u32,
+    /// How the server answers, as last announced.
+    pace: Option<Pace>,
+    /// The server answers so unlike the others of its service that it gets new flows last.
+    pub outlier: bool,
     /// Identifies the agent in the order of a flow's candidates.
     hash: u64,
 }
@@ -126,6 +133,8 @@
                 busy: 0,
                 flows: 0,
                 opened: 0,
+                pace: None,
+                outlier: false,
             };
             self.entries.insert(key, entry);
             return true;
@@ -142,15 +151,50 @@
         true
     }
 
-    /// Records an agent's announced load.
-    pub fn load(&mut self, agent: &SocketAddr, busy: u32, flows: u32) {
-        if let Some(entry) = self.entries.get_mut(agent) {
-            entry.busy = busy;
-            entry.flows = flows;
+    /// Records the load and the pace that an agent has announced.
+    pub fn load(&mut self, announce: &Announce) {
+        if let Some(entry) = self.entries.get_mut(&announce.member.agent) {
+            entry.busy = announce.busy;
+            entry.flows = announce.flows;
+            entry.pace = announce.pace;
             entry.opened = 0;
         }
     }
 
+    /// Compares the servers of each service, and returns the agents whose server has become an
+    /// outlier or is none any more.
+    pub fn judge(&mut self) -> Vec<SocketAddr> {
+        let mut services: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+        for (agent, entry) in &self.entries {
+            if entry.member.state == State::Ready {
+                let agents = services.entry(entry.member.service.clone()).or_default();
+                agents.push(*agent);
+            }
+        }
+        let mut changed = Vec::new();
+        for agents in services.into_values() {
+            let paces: Vec<_> = agents
+                .iter()
+                .map(|agent| self.entries[agent].pace)
+                .collect();
+            let judged = pace::outliers(&paces, agents.len());
+            for (agent, outlier) in agents.into_iter().zip(judged) {
+                if let Some(entry) = self.entries.get_mut(&agent) {
+                    if entry.outlier != outlier {
+                        entry.outlier = outlier;
+                        changed.push(agent);
+                    }
+                }
+            }
+        }
+        changed
+    }
+
+    /// The pace that an agent has announced last.
+    pub fn pace(&self, agent: &SocketAddr) -> Option<Pace> {
+        self.entries.get(agent)?.pace
+    }
+
     /// Counts a new flow given to an agent.
     pub fn opened(&mut self, agent: &SocketAddr) {
         if let Some(entry) = self.entries.get_mut(agent) {
@@ -199,17 +243,18 @@
         self.entries.is_empty()
     }
 
-    /// Agents that may take a new flow of `service`, the best first. Agents that are suspect
-    /// come last.
+    /// Agents that may take a new flow of `service`, the best first. Agents whose server is an
+    /// outlier, and then those that are suspect, come last.
     pub fn openers(&self, service: &str, flow: &Flow, now: Instant) -> Vec<SocketAddr> {
         let mut order = self.order(flow, |entry| {
             entry.member.service == service && entry.member.state == State::Ready
         });
         let (heard, suspect): (Vec<_>, Vec<_>) = order.drain(..).partition(|e| !suspect(e, now));
-        let mut heard = heard;
+        let (outliers, mut heard): (Vec<_>, Vec<_>) = heard.into_iter().partition(|e| e.outlier);
         let choices = CHOICES.min(heard.len());
         heard[..choices].sort_by_key(|entry| entry.load() / LOAD_STEP);
         let mut agents: Vec<_> = heard.iter().map(|entry| entry.member.agent).collect();
+        agents.extend(outliers.iter().map(|entry| entry.member.agent));
         agents.extend(suspect.iter().map(|entry| entry.member.agent));
         agents
     }
--- a/src/steering/segment.rs
+++ b/src/steering/segment.rs
@@ -34,6 +34,11 @@
 }
 
 impl Segment {
+    /// Whether the packet ends its sender's direction or the whole flow.
+    pub fn ends(&self) -> bool {
+        matches!(self.kind, Kind::Finish | Kind::Reset)
+    }
+
     /// Whether the packet opens a flow.
     pub fn opens(&self) -> bool {
         self.kind == Kind::Open
--- /dev/null
+++ b/tests/pace.rs
@@ -0,0 +1,204 @@
+//! Servers that fail while they look well.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use flamingofall::id::{Incarnation, Sequence, Slots};
+use flamingofall::packet::{Flow, Protocol};
+use flamingofall::steering::agent::{self, Agent, Heartbeat};
+use flamingofall::steering::message::{Announce, Forward, Message};
+use flamingofall::steering::pace::{outliers, Meter, Pace};
+use flamingofall::steering::roster::{Member, Roster, State};
+use flamingofall::steering::segment::{Kind, Segment};
+use yare::parameterized;
+
+fn pace(mean_ms: u64, failed: u32) -> Option<Pace> {
+    Some(Pace {
+        mean: Duration::from_millis(mean_ms),
+        failed,
+    })
+}
+
+fn agent(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, index], 8000))
+}
+
+fn announce(index: u8, pace: Option<Pace>) -> Announce {
+    Announce {
+        member: Member {
+            agent: agent(index),
+            incarnation: Incarnation(1),
+            sequence: Sequence(1),
+            service: "portal".into(),
+            server: format!("s{index}"),
+            started: 1,
+            state: State::Ready,
+            slots: Slots(4),
+        },
+        busy: 0,
+        flows: 0,
+        pace,
+        balancers: 1,
+    }
+}
+
+fn roster(paces: &[Option<Pace>], now: Instant) -> Roster {
+    let mut roster = Roster::default();
+    for (index, pace) in paces.iter().enumerate() {
+        let announce = announce(index as u8, *pace);
+        roster.merge(announce.member.clone(), true, now);
+        roster.load(&announce);
+    }
+    roster
+}
+
+fn flow(port: u16) -> Flow {
+    Flow {
+        protocol: Protocol::Tcp,
+        source: SocketAddr::from(([100, 64, 0, 7], port)),
+        destination: SocketAddr::from(([198, 18, 0, 1], 443)),
+    }
+}
+
+// Guards against servers that return errors at once, are much slower or end flows without an
+// answer, and against ejections among servers that differ no more than cold ones do.
+#[parameterized(
+    errors = { 1, 0, true },
+    slow = { 320, 0, true },
+    cut = { 40, 500, true },
+    cold = { 80, 0, false },
+    busy = { 140, 100, false },
+    quick = { 15, 0, false },
+)]
+fn compared(mean_ms: u64, failed: u32, expected: bool) {
+    let mut paces = vec![pace(40, 0); 5];
+    paces.push(pace(mean_ms, failed));
+    let judged = outliers(&paces, paces.len());
+    assert_eq!(judged[5], expected);
+    assert!(judged[..5].iter().all(|outlier| !outlier));
+}
+
+// Guards against ejections while all servers are overloaded and their clients give up alike.
+#[test]
+fn overload_of_all() {
+    let paces: Vec<_> = (0..6).map(|index| pace(300, 350 + index * 20)).collect();
+    assert!(outliers(&paces, 6).iter().all(|outlier| !outlier));
+}
+
+// Guards against a service that loses most of its servers to a wrong comparison.
+#[test]
+fn ejections_capped() {
+    let mut paces = vec![pace(40, 0); 5];
+    paces.extend(vec![pace(1, 0); 4]);
+    let judged = outliers(&paces, paces.len());
+    assert_eq!(judged.iter().filter(|outlier| **outlier).count(), 3);
+    let two = [pace(40, 0), pace(1, 0)];
+    assert_eq!(outliers(&two, 2), [false, false]);
+}
+
+// Guards against an outlier that attracts new flows because it has no load, and against one that
+// gets none when no other server is left.
+#[test]
+fn outlier_last() {
+    let now = Instant::now();
+    let mut paces = vec![pace(40, 0); 4];
+    paces.push(pace(1, 0));
+    let mut roster = roster(&paces, now);
+    assert_eq!(roster.judge(), [agent(4)]);
+    for port in 1..200 {
+        let openers = roster.openers("portal", &flow(port), now);
+        assert_eq!(openers.len(), 5);
+        assert_eq!(openers[4], agent(4));
+    }
+    roster.load(&announce(4, None));
+    assert_eq!(
+        roster.judge(),
+        [agent(4)],
+        "a server without a pace is tried again"
+    );
+    let first = |port| roster.openers("portal", &flow(port), now)[0] == agent(4);
+    assert!((1..200).any(first));
+}
+
+// Guards against a judgement by few or by old outcomes.
+#[test]
+fn recent_outcomes() {
+    let now = Instant::now();
+    let mut meter = Meter::default();
+    for _ in 0..7 {
+        meter.record(Some(Duration::from_millis(10)), now);
+    }
+    assert_eq!(meter.pace(now), None);
+    meter.record(None, now);
+    let expected = pace(10, 125);
+    assert_eq!(meter.pace(now), expected);
+    assert_eq!(meter.pace(now + Duration::from_secs(4)), None);
+}
+
+/// Plays ten requests to an agent whose server ends each flow in the same way, and returns the
+/// pace that it announces.
+fn announced(kind: Kind, sequence: u32) -> Option<Pace> {
+    let now = Instant::now();
+    let every = Duration::from_secs(1);
+    let mut agent = Agent::new(agent(1), "portal".into(), Incarnation(1), every, now);
+    let mut out = Vec::new();
+    let heartbeat = Heartbeat {
+        server: "a".into(),
+        started: 5,
+        service: "portal".into(),
+        state: State::Ready,
+        slots: Slots(20),
+        sequence: 1,
+    };
+    agent.heartbeat(heartbeat, now, &mut out);
+    let balancer = SocketAddr::from(([10, 0, 0, 1], 7720));
+    agent.meet(balancer, now);
+    for port in 1..=10 {
+        let segment = Segment {
+            flow: flow(port),
+            kind: Kind::Data,
+            sequence: 1,
+            acknowledgement: 100,
+            length: 900,
+        };
+        let forward = Forward {
+            service: "portal".into(),
+            origin: balancer,
+            lookup: false,
+            candidates: Vec::new(),
+            passes: 0,
+            complete: true,
+            at_most_once: true,
+            packet: vec![1],
+        };
+        let decode = |_: &[u8]| Some(segment);
+        agent.message(balancer, Message::Forward(forward), decode, now, &mut out);
+        let end = Segment {
+            kind,
+            sequence,
+            acknowledgement: 901,
+            length: 0,
+            ..segment
+        };
+        agent.outbound(end, vec![1], now, &mut out);
+    }
+    out.clear();
+    agent.tick(now + every / 2, &mut out);
+    out.iter().find_map(|output| match output {
+        agent::Output::Send(_, Message::Announce(announce)) => announce.pace,
+        _ => None,
+    })
+}
+
+// Guards against servers taken for failing because the end of a flow overtakes its answer.
+#[parameterized(
+    answer_overtaken = { Kind::Finish, 900, 0 },
+    closed_without_answer = { Kind::Finish, 100, 1000 },
+    reset = { Kind::Reset, 900, 1000 },
+)]
+fn ends_of_flows(kind: Kind, sequence: u32, failed: u32) {
+    assert_eq!(
+        announced(kind, sequence).map(|pace| pace.failed),
+        Some(failed)
+    );
+}
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -319,6 +319,7 @@
             member,
             busy: 0,
             flows: 0,
+            pace: None,
             balancers: 1,
         })
     };
@@ -542,6 +543,7 @@
         member: member(1, "portal", State::Ready),
         busy: 0,
         flows: 0,
+        pace: None,
         balancers: 1,
     };
     let message = Message::Announce(announce);
@@ -581,6 +583,7 @@
         member,
         busy: 0,
         flows: 0,
+        pace: None,
         balancers: 1,
     });
     balancer.message(agent_addr(1), message, |_| None, now, &mut out);
@@ -657,6 +660,7 @@
             member,
             busy: 0,
             flows: 0,
+            pace: None,
             balancers: 1,
         });
         out.clear();
@@ -682,6 +686,7 @@
                     member: member(index, "portal", State::Ready),
                     busy: 0,
                     flows: 0,
+                    pace: None,
                     balancers: 1,
                 });
                 if heard {
