--- /dev/null
+++ b/src/steering/agent/delivery.rs
@@ -0,0 +1,179 @@
+//! Clients' packets on their way to the server, and those that it returns.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use crate::steering::held::Held;
+use crate::steering::message::{Forward, Message};
+use crate::steering::note::Topic;
+use crate::steering::roster::State;
+use crate::steering::segment::{Kind, Segment};
+
+use super::{note, owner, Agent, Output, PENDING_MAX};
+
+/// Times that a new flow is passed on by agents whose servers have all slots in use.
+const PASSES_MAX: u8 = 2;
+/// Requests for each slot above which a server gets no new flows: one runs and one waits, so that
+/// the next one would wait for longer than it runs.
+const REQUESTS_PER_SLOT: u32 = 2;
+
+/// A packet that the server may return.
+#[derive(Debug)]
+pub(super) struct Pending {
+    token: u32,
+    service: String,
+    origin: SocketAddr,
+    lookup: bool,
+    passes: u8,
+    complete: bool,
+    at_most_once: bool,
+    candidates: Vec<SocketAddr>,
+}
+
+impl Agent {
+    /// A client's packet.
+    pub(super) fn packet(
+        &mut self,
+        segment: Segment,
+        mut forward: Forward,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        if self.member.state == State::Gone {
+            self.pass(segment, forward, "server_gone", out);
+            return;
+        }
+        let flow = segment.flow;
+        if segment.opens() {
+            let held = self.flows.contains_key(&flow);
+            let wrong = forward.service != self.member.service;
+            if wrong || (!held && self.member.state != State::Ready) {
+                self.pass(segment, forward, "not_accepting", out);
+                return;
+            }
+            let busy = self.busy(now) >= self.member.slots.0;
+            let others = forward.passes < PASSES_MAX && !forward.candidates.is_empty();
+            if !held && (self.full(&segment, now) || busy && others) {
+                forward.passes += 1;
+                self.pass(segment, forward, "busy", out);
+                return;
+            }
+            let held = self
+                .flows
+                .entry(flow)
+                .or_insert_with(|| Held::new(Some(forward.origin), now));
+            held.at_most_once = forward.at_most_once;
+        } else {
+            let held = self
+                .flows
+                .entry(flow)
+                .or_insert_with(|| Held::new(Some(forward.origin), now));
+            held.acknowledged = segment.acknowledgement;
+            held.at_most_once = forward.at_most_once;
+            held.seen = now;
+            held.asks(&segment, now);
+            if forward.lookup {
+                held.origin = Some(forward.origin);
+                held.asked = !held.open;
+                if held.open {
+                    let owner = owner(flow, &self.member, None);
+                    out.push(Output::Send(forward.origin, Message::Owner(owner)));
+                }
+            }
+            if segment.kind == Kind::Reset {
+                self.flows.remove(&flow);
+            }
+        }
+        let token = self.next_token;
+        self.next_token = self.next_token.wrapping_add(1).max(1);
+        self.pending[token as usize % PENDING_MAX] = Some(Pending {
+            token,
+            service: forward.service,
+            origin: forward.origin,
+            lookup: forward.lookup,
+            passes: forward.passes,
+            complete: forward.complete,
+            at_most_once: forward.at_most_once,
+            candidates: forward.candidates,
+        });
+        out.push(Output::Deliver {
+            token,
+            packet: forward.packet,
+        });
+    }
+
+    /// Whether the server has too many requests for another flow. A copy of an opening packet
+    /// belongs to a request that is late already, so it gets a slot only if one is free.
+    fn full(&self, segment: &Segment, now: Instant) -> bool {
+        let copy = segment.acknowledgement > 0;
+        let limit = if copy { 1 } else { REQUESTS_PER_SLOT };
+        self.busy(now) >= limit * self.member.slots.0
+    }
+
+    /// Gives a packet that the server doesn't take to the next candidate.
+    fn pass(
+        &mut self,
+        segment: Segment,
+        mut forward: Forward,
+        reason: &str,
+        out: &mut Vec<Output>,
+    ) {
+        if forward.candidates.is_empty() {
+            out.push(note(
+                Topic::Exhausted,
+                format!(
+                    "flow={} kind={} reason={reason}",
+                    segment.flow, segment.kind
+                ),
+            ));
+            out.push(Output::Send(forward.origin, Message::Exhausted(forward)));
+            return;
+        }
+        let next = forward.candidates.remove(0);
+        if segment.opens() {
+            out.push(note(
+                Topic::Passed,
+                format!("flow={} to={next} reason={reason}", segment.flow),
+            ));
+        }
+        out.push(Output::Send(next, Message::Forward(forward)));
+    }
+
+    /// A packet that the server returned because it doesn't take it.
+    pub fn returned(
+        &mut self,
+        segment: Segment,
+        token: u32,
+        packet: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) {
+        let slot = &mut self.pending[token as usize % PENDING_MAX];
+        let Some(pending) = slot.take_if(|pending| pending.token == token) else {
+            out.push(note(
+                Topic::Dropped,
+                format!(
+                    "flow={} reason=returned_too_late token={token}",
+                    segment.flow
+                ),
+            ));
+            return;
+        };
+        let held = self.flows.remove(&segment.flow);
+        if held.is_some_and(|held| held.open) && !segment.opens() {
+            // The server held the flow and no longer does: nobody else can.
+            self.reset(segment.flow, segment.acknowledgement, "server_lost_it", out);
+            return;
+        }
+        let forward = Forward {
+            service: pending.service,
+            origin: pending.origin,
+            lookup: pending.lookup,
+            candidates: pending.candidates,
+            passes: pending.passes,
+            complete: pending.complete,
+            at_most_once: pending.at_most_once,
+            packet,
+        };
+        self.pass(segment, forward, "returned", out);
+    }
+}
--- /dev/null
+++ b/src/steering/agent/mod.rs
@@ -0,0 +1,323 @@
+//! The agent's decisions: which packets its server gets, and what becomes of the others.
+
+mod delivery;
+mod persistence;
+mod server;
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::id::{Incarnation, Sequence, Slots};
+use crate::packet::Flow;
+use crate::steering::held::Held;
+use crate::steering::message::{Message, Owner};
+use crate::steering::note::{Note, Topic};
+use crate::steering::pace::Meter;
+use crate::steering::roster::{Member, State};
+use crate::steering::segment::{Kind, Segment};
+use crate::steering::snapshot::Snapshot;
+
+use delivery::Pending;
+use persistence::{SAVE_CHECK_EVERY, SAVE_EVERY};
+
+/// How often [`Agent::tick`] is meant to be called.
+pub const TICK: Duration = Duration::from_millis(50);
+/// A tick that comes later than this shows that the process stood still.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Packets at the server whose return is still possible.
+const PENDING_MAX: usize = 8192;
+/// Flows without packets are forgotten after this time: the longest life of a flow.
+const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
+/// Balancers that send nothing for this long are forgotten.
+const FORGET_BALANCER_AFTER: Duration = Duration::from_secs(60);
+/// Heartbeat periods without a heartbeat after which the server gets no new flows.
+const SILENT_PERIODS: u32 = 3;
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Give a packet to the server, marked with a token that its return carries.
+    Deliver {
+        /// The mark.
+        token: u32,
+        /// The packet.
+        packet: Vec<u8>,
+    },
+    /// Send a server's packet to its client.
+    Client(SocketAddr, Vec<u8>),
+    /// Send a message to a balancer or an agent.
+    Send(SocketAddr, Message),
+    /// Reset the client's end of a flow.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number that the client accepts.
+        sequence: u32,
+    },
+    /// Store the agent's record in the directory.
+    Publish(Member),
+    /// Store the open flows in the directory.
+    Save(Snapshot),
+    /// Record the time from a client's data to the first data of the answer.
+    Latency(Duration),
+    /// Log a decision or a change.
+    Note(Note),
+}
+
+/// What a server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Identity of the server.
+    pub server: String,
+    /// Start of the server's process in Unix milliseconds; zero if it doesn't say.
+    pub started: u64,
+    /// Its service.
+    pub service: String,
+    /// Ready or draining.
+    pub state: State,
+    /// Requests that it works on at the same time.
+    pub slots: Slots,
+    /// Increases with each heartbeat of one process.
+    pub sequence: u64,
+}
+
+/// Whether a heartbeat was used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// It describes the server now.
+    Accepted,
+    /// It was sent before one that arrived earlier.
+    Outdated,
+}
+
+/// An agent.
+#[derive(Debug)]
+pub struct Agent {
+    member: Member,
+    /// Last heartbeat number of the server's process.
+    server_sequence: u64,
+    heard: Option<Instant>,
+    heartbeat_every: Duration,
+    flows: HashMap<Flow, Held>,
+    /// Slot `token % PENDING_MAX`.
+    pending: Vec<Option<Pending>>,
+    next_token: u32,
+    balancers: HashMap<SocketAddr, Instant>,
+    announce_due: Instant,
+    expire_due: Instant,
+    /// How the server answers.
+    meter: Meter,
+    save_check: Instant,
+    save_due: Instant,
+    /// Clients' ends in the last snapshot.
+    saved: HashSet<SocketAddr>,
+    /// Flows missing in the last snapshot, times the time since each was found missing.
+    risk: Duration,
+    /// Snapshot of an earlier run whose server isn't known to live on or to have ended yet.
+    former: Option<Snapshot>,
+    ticked: Instant,
+}
+
+impl Agent {
+    /// An agent at `address` beside a server of `service`.
+    pub fn new(
+        address: SocketAddr,
+        service: String,
+        incarnation: Incarnation,
+        heartbeat_every: Duration,
+        now: Instant,
+    ) -> Self {
+        Self {
+            member: Member {
+                agent: address,
+                incarnation,
+                sequence: Sequence(0),
+                service,
+                server: String::new(),
+                started: 0,
+                state: State::Waiting,
+                slots: Slots(1),
+            },
+            server_sequence: 0,
+            heard: None,
+            heartbeat_every,
+            flows: HashMap::new(),
+            pending: (0..PENDING_MAX).map(|_| None).collect(),
+            next_token: 1,
+            balancers: HashMap::new(),
+            announce_due: now,
+            expire_due: now,
+            meter: Meter::default(),
+            save_check: now,
+            save_due: now + SAVE_EVERY,
+            saved: HashSet::new(),
+            risk: Duration::ZERO,
+            former: None,
+            ticked: now,
+        }
+    }
+
+    /// The agent's record.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// Number of flows that the server holds.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Number of balancers known.
+    pub fn balancers(&self) -> usize {
+        self.balancers.len()
+    }
+
+    /// Requests that wait for an answer.
+    pub fn busy(&self, now: Instant) -> u32 {
+        self.flows.values().filter(|held| held.busy(now)).count() as u32
+    }
+
+    /// Sets the time between the server's heartbeats.
+    pub fn expect_heartbeats(&mut self, every: Duration) {
+        self.heartbeat_every = every;
+    }
+
+    /// Adds a balancer to announce to.
+    pub fn meet(&mut self, balancer: SocketAddr, now: Instant) {
+        if self.balancers.insert(balancer, now).is_none() {
+            self.announce_due = now;
+        }
+    }
+
+    /// A message from a balancer or an agent.
+    pub fn message(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        decode: impl Fn(&[u8]) -> Option<Segment>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Forward(forward) => {
+                if let Some(segment) = decode(&forward.packet) {
+                    self.packet(segment, forward, now, out);
+                }
+            }
+            Message::Balancers(balancers) => {
+                for balancer in balancers {
+                    self.meet(balancer, now);
+                }
+            }
+            Message::Owner(_)
+            | Message::Exhausted(_)
+            | Message::Announce(_)
+            | Message::Digest(_) => {
+                out.push(note(
+                    Topic::MessageIgnored,
+                    format!("from={from} reason=not_for_an_agent"),
+                ));
+            }
+        }
+    }
+
+    /// A packet of the server to a client.
+    pub fn outbound(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let held = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Held::new(None, now));
+        held.seen = now;
+        let accepted = (segment.kind == Kind::Accept).then_some(segment.sequence);
+        if segment.kind != Kind::Accept {
+            held.open = true;
+            if segment.length > 0 {
+                if let Some(since) = held.waiting.take() {
+                    let time = now.saturating_duration_since(since);
+                    self.meter.record(Some(time), now);
+                    out.push(Output::Latency(time));
+                }
+            }
+            if let Some(since) = held.waiting.take_if(|_| segment.ends()) {
+                // The end of a flow may overtake the answer, which its sequence number counts.
+                let answered =
+                    segment.kind == Kind::Finish && segment.sequence != held.acknowledged;
+                let time = answered.then(|| now.saturating_duration_since(since));
+                self.meter.record(time, now);
+            }
+        }
+        held.finished |= segment.kind == Kind::Finish;
+        if accepted.is_some() || held.asked {
+            held.asked = false;
+            if let Some(origin) = held.origin {
+                let owner = owner(flow, &self.member, accepted);
+                out.push(Output::Send(origin, Message::Owner(owner)));
+            }
+        }
+        if segment.kind == Kind::Reset {
+            self.flows.remove(&flow);
+        }
+        out.push(Output::Client(flow.source, packet));
+    }
+
+    /// Runs everything that is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let pause = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        if pause > PAUSE {
+            out.push(note(
+                Topic::Resumed,
+                format!("pause_ms={}", pause.as_millis()),
+            ));
+            self.heard = self.heard.map(|heard| heard + pause);
+        }
+        let silent = self.heard.is_some_and(|heard| {
+            now.saturating_duration_since(heard) > self.heartbeat_every * SILENT_PERIODS
+        });
+        if silent && self.member.state == State::Ready {
+            self.set_state(State::Waiting, "heartbeats_missing", now, out);
+        }
+        if now >= self.announce_due {
+            self.announce(now, out);
+        }
+        if now >= self.save_check {
+            self.save_check = now + SAVE_CHECK_EVERY;
+            self.save(now, out);
+        }
+        if now >= self.expire_due {
+            self.expire_due = now + Duration::from_secs(1);
+            self.flows
+                .retain(|_, held| now.saturating_duration_since(held.seen) < FORGET_FLOW_AFTER);
+            self.balancers
+                .retain(|_, heard| now.saturating_duration_since(*heard) < FORGET_BALANCER_AFTER);
+        }
+    }
+
+    fn reset(&self, flow: Flow, sequence: u32, reason: &str, out: &mut Vec<Output>) {
+        out.push(note(Topic::Reset, format!("flow={flow} reason={reason}")));
+        out.push(Output::Reset { flow, sequence });
+    }
+}
+
+fn owner(flow: Flow, member: &Member, accepted: Option<u32>) -> Owner {
+    Owner {
+        client: flow.source,
+        address: flow.destination,
+        agent: member.agent,
+        process: (!member.server.is_empty()).then(|| member.process()),
+        accepted,
+    }
+}
+
+fn note(topic: Topic, text: String) -> Output {
+    Output::Note(Note::new(topic, text))
+}
--- /dev/null
+++ b/src/steering/agent/persistence.rs
@@ -0,0 +1,99 @@
+//! Snapshots of the open flows, and what becomes of those of an earlier run.
+
+use std::time::{Duration, Instant};
+
+use crate::steering::held::Held;
+use crate::steering::note::Topic;
+use crate::steering::snapshot::{Saved, Snapshot};
+
+use super::{note, Agent, Output};
+
+/// Time between checks whether a snapshot of the open flows is due.
+pub(super) const SAVE_CHECK_EVERY: Duration = Duration::from_millis(500);
+/// Flows younger than this are not saved: flows of a single request have ended by then.
+const SAVE_AGE: Duration = Duration::from_millis(500);
+/// A snapshot is due when the flows that it lacks, times the time that they have been at risk, is
+/// this long: the fewer flows, the longer it waits.
+const SAVE_RISK: Duration = Duration::from_secs(4);
+/// Flows whose requests may be repeated that are as urgent to save as one whose requests may not:
+/// their clients lose a round trip, not a request.
+const REPEATABLE_PER_ONCE: u32 = 10;
+/// A snapshot is due at the latest after this time, because clients accept a reset only near their
+/// last acknowledgement.
+pub(super) const SAVE_EVERY: Duration = Duration::from_secs(10);
+/// Most flows in a snapshot, which keeps it far below the largest object of a directory.
+const SAVE_MAX: usize = 10_000;
+
+impl Agent {
+    /// Takes over the snapshot that an earlier run of this agent saved.
+    pub fn restore(&mut self, snapshot: Snapshot, now: Instant, out: &mut Vec<Output>) {
+        self.former = Some(snapshot);
+        self.settle_former(now, out);
+    }
+
+    /// Keeps the flows of the former snapshot if their server lives, or else resets them.
+    pub(super) fn settle_former(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.member.server.is_empty() {
+            return;
+        }
+        let Some(former) = self.former.take() else {
+            return;
+        };
+        let alive = former.process == self.member.process();
+        out.push(note(
+            Topic::SnapshotRestored,
+            format!("flows={} server_alive={alive}", former.flows.len()),
+        ));
+        for saved in former.flows {
+            let flow = saved.flow();
+            if !alive {
+                self.reset(flow, saved.acknowledged, "server_ended_earlier", out);
+                continue;
+            }
+            let held = self
+                .flows
+                .entry(flow)
+                .or_insert_with(|| Held::new(None, now));
+            held.open = true;
+            held.acknowledged = held.acknowledged.max(saved.acknowledged);
+        }
+    }
+
+    /// Saves the open flows if too many are missing in the last snapshot for too long.
+    pub(super) fn save(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.former.is_some() || self.member.server.is_empty() {
+            return;
+        }
+        let lasting =
+            |held: &Held| held.lasts() && now.saturating_duration_since(held.since) >= SAVE_AGE;
+        let open = self.flows.iter().filter(|(_, held)| lasting(held));
+        let missing = open
+            .clone()
+            .filter(|(flow, _)| !self.saved.contains(&flow.source));
+        let (once, repeatable): (Vec<_>, Vec<_>) = missing.partition(|(_, held)| held.at_most_once);
+        self.risk += SAVE_CHECK_EVERY * once.len() as u32;
+        self.risk += SAVE_CHECK_EVERY * repeatable.len() as u32 / REPEATABLE_PER_ONCE;
+        if self.risk < SAVE_RISK && now < self.save_due {
+            return;
+        }
+        let mut flows: Vec<_> = open
+            .map(|(flow, held)| Saved {
+                client: flow.source,
+                address: flow.destination,
+                acknowledged: held.acknowledged,
+            })
+            .collect();
+        flows.sort_unstable();
+        flows.truncate(SAVE_MAX);
+        self.save_due = now + SAVE_EVERY;
+        self.risk = Duration::ZERO;
+        if flows.is_empty() && self.saved.is_empty() {
+            return;
+        }
+        self.saved = flows.iter().map(|saved| saved.client).collect();
+        out.push(Output::Save(Snapshot {
+            process: self.member.process(),
+            flows,
+        }));
+    }
+}
--- /dev/null
+++ b/src/steering/agent/server.rs
@@ -0,0 +1,129 @@
+//! What the agent believes of its server, and tells balancers.
+
+use std::time::{Duration, Instant};
+
+use crate::id::Sequence;
+use crate::steering::message::{Announce, Message};
+use crate::steering::note::Topic;
+use crate::steering::roster::{Member, State};
+
+use super::{note, Agent, Heartbeat, Outcome, Output};
+
+/// Time between announcements to each balancer.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(400);
+
+impl Agent {
+    /// A heartbeat of the server.
+    pub fn heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) -> Outcome {
+        let same =
+            heartbeat.server == self.member.server && heartbeat.started == self.member.started;
+        let late = same && heartbeat.sequence <= self.server_sequence;
+        if heartbeat.started < self.member.started || late {
+            out.push(note(
+                Topic::HeartbeatIgnored,
+                format!(
+                    "server={} started={} sequence={} reason=outdated",
+                    heartbeat.server, heartbeat.started, heartbeat.sequence
+                ),
+            ));
+            return Outcome::Outdated;
+        }
+        if !same && !self.member.server.is_empty() {
+            self.server_ended("replaced", out);
+        }
+        self.server_sequence = heartbeat.sequence;
+        self.heard = Some(now);
+        let mut member = self.member.clone();
+        member.server = heartbeat.server;
+        member.started = heartbeat.started;
+        member.service = heartbeat.service;
+        member.slots = heartbeat.slots;
+        member.state = heartbeat.state;
+        self.update(member, "heartbeat", now, out);
+        self.settle_former(now, out);
+        Outcome::Accepted
+    }
+
+    /// The server says that it ends.
+    pub fn left(&mut self, server: &str, now: Instant, out: &mut Vec<Output>) {
+        if server != self.member.server {
+            out.push(note(
+                Topic::HeartbeatIgnored,
+                format!("server={server} reason=not_the_current_server"),
+            ));
+            return;
+        }
+        self.server_ended("left", out);
+        self.set_state(State::Gone, "left", now, out);
+    }
+
+    /// This process is about to stop: no new flows.
+    pub fn stop(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.member.state == State::Ready {
+            self.set_state(State::Waiting, "stopping", now, out);
+        }
+        self.announce(now, out);
+    }
+
+    pub(super) fn announce(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.announce_due = now + ANNOUNCE_EVERY;
+        let announce = Announce {
+            member: self.member.clone(),
+            busy: self.busy(now),
+            flows: self.flows.values().filter(|held| held.lasts()).count() as u32,
+            pace: self.meter.pace(now),
+            balancers: self.balancers.len() as u32,
+        };
+        for balancer in self.balancers.keys() {
+            out.push(Output::Send(*balancer, Message::Announce(announce.clone())));
+        }
+    }
+
+    pub(super) fn set_state(
+        &mut self,
+        state: State,
+        cause: &str,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let mut member = self.member.clone();
+        member.state = state;
+        self.update(member, cause, now, out);
+    }
+
+    fn update(&mut self, mut member: Member, cause: &str, now: Instant, out: &mut Vec<Output>) {
+        if member == self.member {
+            return;
+        }
+        member.sequence = Sequence(self.member.sequence.0 + 1);
+        out.push(note(
+            Topic::ServerState,
+            format!(
+                "server={} service={} from={} to={} cause={cause}",
+                member.server, member.service, self.member.state, member.state
+            ),
+        ));
+        self.member = member;
+        out.push(Output::Publish(self.member.clone()));
+        self.announce(now, out);
+    }
+
+    /// Resets the flows of a server that has ended.
+    fn server_ended(&mut self, cause: &str, out: &mut Vec<Output>) {
+        self.saved.clear();
+        self.meter.clear();
+        let flows: Vec<_> = self
+            .flows
+            .drain()
+            .filter(|(_, held)| held.lasts())
+            .collect();
+        for (flow, held) in flows {
+            self.reset(flow, held.acknowledged, cause, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/steering/balancer/fleet.rs
@@ -0,0 +1,187 @@
+//! What the balancer learns of agents and other balancers.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::seq::SliceRandom;
+
+use crate::steering::known::Known;
+use crate::steering::message::{Announce, Digest, Message};
+use crate::steering::note::Topic;
+use crate::steering::roster::{Entry, Member, Process, State};
+
+use super::{note, Balancer, Output};
+
+/// Peers that receive each digest.
+const DIGEST_FANOUT: usize = 3;
+/// A balancer that hears none of its agents for this long is cut off from them: two announcements
+/// of each are missing.
+const ISOLATED_AFTER: Duration = Duration::from_millis(900);
+/// Fewer agents than this may be silent because they have failed themselves.
+const ISOLATED_AGENTS: usize = 3;
+
+impl Balancer {
+    /// Whether all agents that this balancer has heard before are silent.
+    pub(super) fn isolated(&self) -> bool {
+        let heard = |entry: &Entry| entry.direct.then_some(entry.heard);
+        let heard: Vec<_> = self.roster.iter().filter_map(heard).collect();
+        let silent = |last| self.ticked.saturating_duration_since(last) > ISOLATED_AFTER;
+        heard.len() >= ISOLATED_AGENTS && heard.into_iter().max().is_some_and(silent)
+    }
+
+    /// Merges records and balancers that the directory lists.
+    pub fn directory(
+        &mut self,
+        members: Vec<Member>,
+        balancers: Vec<SocketAddr>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        self.listed = true;
+        for member in members {
+            self.merge(member, false, now, out);
+        }
+        for peer in balancers {
+            self.meet(peer, now);
+        }
+        self.greet_agents(out);
+        self.digest_due = now;
+    }
+
+    /// Adds a balancer that may be alive, such as one named in the settings.
+    pub fn meet(&mut self, peer: SocketAddr, now: Instant) {
+        if peer != self.address {
+            self.peers.entry(peer).or_insert(now);
+        }
+    }
+
+    /// Finds servers that answer unlike the others of their service.
+    pub(super) fn judge(&mut self, out: &mut Vec<Output>) {
+        for agent in self.roster.judge() {
+            let outlier = self.roster.get(&agent).is_some_and(|entry| entry.outlier);
+            let pace = self.roster.pace(&agent);
+            out.push(note(
+                Topic::Outlier,
+                format!(
+                    "agent={agent} outlier={outlier} mean_ms={} failed_permille={}",
+                    pace.map_or(0, |pace| pace.mean.as_millis()),
+                    pace.map_or(0, |pace| pace.failed)
+                ),
+            ));
+        }
+    }
+
+    pub(super) fn announce(&mut self, announce: Announce, now: Instant, out: &mut Vec<Output>) {
+        let agent = announce.member.agent;
+        self.merge(announce.member.clone(), true, now, out);
+        self.roster.load(&announce);
+        if announce.balancers as usize != self.peers.len() + 1 {
+            let balancers = self.balancers();
+            out.push(Output::Send(agent, Message::Balancers(balancers)));
+        }
+    }
+
+    fn merge(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
+        let agent = member.agent;
+        if !self.roster.merge(member, direct, now) {
+            return;
+        }
+        let Some(Entry { member, .. }) = self.roster.get(&agent) else {
+            return;
+        };
+        out.push(note(
+            Topic::Member,
+            format!(
+                "agent={agent} service={} server={} state={} incarnation={} sequence={} \
+                 direct={direct}",
+                member.service, member.server, member.state, member.incarnation, member.sequence
+            ),
+        ));
+        let ended = member.state == State::Gone;
+        let process = member.process();
+        if !member.server.is_empty() {
+            self.end_flows(agent, (!ended).then_some(process), out);
+        }
+    }
+
+    /// Resets the flows that this balancer knows to be at former servers of an agent, so that their
+    /// clients don't use them for further requests.
+    fn end_flows(&mut self, agent: SocketAddr, current: Option<Process>, out: &mut Vec<Output>) {
+        let lost = |known: &Known| {
+            known.agent == agent && known.process.is_some() && known.process != current
+        };
+        let ended: Vec<_> = self.flows.extract_if(|_, known| lost(known)).collect();
+        for (flow, known) in ended {
+            out.push(note(
+                Topic::Reset,
+                format!("flow={flow} reason=server_ended agent={agent}"),
+            ));
+            out.push(Output::Reset {
+                flow,
+                sequence: known.acknowledged,
+            });
+        }
+    }
+
+    pub(super) fn digest(
+        &mut self,
+        from: SocketAddr,
+        digest: Digest,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        self.peers.insert(from, now);
+        let known: HashSet<SocketAddr> = self.peers.keys().copied().collect();
+        for peer in digest.balancers {
+            if !known.contains(&peer) {
+                self.meet(peer, now);
+            }
+        }
+        // An agent that only the peer knows is told of this balancer and then announces itself.
+        for agent in digest.agents {
+            if self.roster.get(&agent).is_none() {
+                let balancers = self.balancers();
+                out.push(Output::Send(agent, Message::Balancers(balancers)));
+            }
+        }
+        if digest.generation > self.routes.generation() {
+            out.push(Output::Fetch(digest.source));
+        }
+    }
+
+    pub(super) fn send_digests(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let heard = |at: &Instant| now.saturating_duration_since(*at) < Duration::from_secs(3);
+        let agents = self
+            .roster
+            .iter()
+            .filter(|entry| entry.direct && heard(&entry.heard))
+            .map(|entry| entry.member.agent)
+            .collect();
+        let digest = Digest {
+            generation: self.routes.generation(),
+            balancers: self.balancers(),
+            agents,
+            source: self.address,
+        };
+        let mut peers: Vec<_> = self.peers.keys().copied().collect();
+        peers.shuffle(&mut rand::rng());
+        for peer in peers.into_iter().take(DIGEST_FANOUT) {
+            out.push(Output::Send(peer, Message::Digest(digest.clone())));
+        }
+    }
+
+    /// Tells all agents which balancers there are.
+    fn greet_agents(&self, out: &mut Vec<Output>) {
+        for entry in self.roster.iter() {
+            let message = Message::Balancers(self.balancers());
+            out.push(Output::Send(entry.member.agent, message));
+        }
+    }
+
+    fn balancers(&self) -> Vec<SocketAddr> {
+        let mut balancers: Vec<_> = self.peers.keys().copied().collect();
+        balancers.push(self.address);
+        balancers
+    }
+}
--- /dev/null
+++ b/src/steering/balancer/mod.rs
@@ -0,0 +1,268 @@
+//! The balancer's decisions: which agent gets a client's packet.
+
+mod fleet;
+mod opening;
+mod search;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::id::Generation;
+use crate::packet::Flow;
+use crate::steering::known::Known;
+use crate::steering::message::{Forward, Message};
+use crate::steering::note::{Note, Topic};
+use crate::steering::roster::{Roster, State};
+use crate::steering::routes::{Repeat, Routes, Table};
+use crate::steering::segment::Segment;
+
+use opening::Opening;
+
+/// How often [`Balancer::tick`] is meant to be called.
+pub const TICK: Duration = Duration::from_millis(20);
+/// A tick that comes later than this shows that the process stood still.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Time between comparisons of the servers of each service: half of an announcement's period.
+const JUDGE_EVERY: Duration = Duration::from_millis(200);
+/// Time between removals of what is out of date.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+/// Flows without packets are forgotten after this time; their next packet is a lookup.
+const FORGET_FLOW_AFTER: Duration = Duration::from_secs(65);
+/// Most candidates named in one packet, which keeps a datagram below 2 KB.
+const CANDIDATES_MAX: usize = 64;
+/// Time between digests to peers.
+const DIGEST_EVERY: Duration = Duration::from_millis(500);
+/// Peers not heard for this long are forgotten.
+const FORGET_PEER_AFTER: Duration = Duration::from_secs(60);
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message to an agent or a balancer.
+    Send(SocketAddr, Message),
+    /// Reset the client's end of a flow.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number that the client accepts.
+        sequence: u32,
+    },
+    /// Fetch a newer configuration from a peer.
+    Fetch(SocketAddr),
+    /// Record the time from an opening packet to the report of its acceptance.
+    Latency(Duration),
+    /// Log a decision or a change.
+    Note(Note),
+}
+
+/// A balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    /// Where agents and peers reach this balancer.
+    address: SocketAddr,
+    routes: Table,
+    roster: Roster,
+    flows: HashMap<Flow, Known>,
+    /// Ordered by `due`, because all of them wait for the same time.
+    opening: VecDeque<Opening>,
+    peers: HashMap<SocketAddr, Instant>,
+    started: Instant,
+    ticked: Instant,
+    digest_due: Instant,
+    judge_due: Instant,
+    expire_due: Instant,
+    /// Whether the directory's list of agents was read.
+    listed: bool,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet.
+    pub fn new(address: SocketAddr, now: Instant) -> Self {
+        Self {
+            address,
+            routes: Table::default(),
+            roster: Roster::default(),
+            flows: HashMap::new(),
+            opening: VecDeque::new(),
+            peers: HashMap::new(),
+            started: now,
+            ticked: now,
+            digest_due: now,
+            judge_due: now,
+            expire_due: now,
+            listed: false,
+        }
+    }
+
+    /// Whether the balancer can serve: it has a configuration, knows agents and hears them.
+    pub fn ready(&self) -> bool {
+        let informed = self.listed || !self.roster.is_empty();
+        self.configured() && informed && !self.isolated()
+    }
+
+    /// Whether the balancer has a configuration, without which it can place no flow.
+    pub fn configured(&self) -> bool {
+        self.routes.generation() > Generation(0)
+    }
+
+    /// Generation of the configuration in force.
+    pub fn generation(&self) -> Generation {
+        self.routes.generation()
+    }
+
+    /// Number of flows remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Number of agents known.
+    pub fn agents(&self) -> usize {
+        self.roster.len()
+    }
+
+    /// Adopts a configuration if it is newer.
+    pub fn configure(&mut self, routes: Routes, source: &str, out: &mut Vec<Output>) {
+        let (generation, version, count) = (routes.generation, routes.version, routes.routes.len());
+        if self.routes.adopt(routes) {
+            out.push(note(
+                Topic::ConfigurationAdopted,
+                format!(
+                    "generation={generation} version={version} \
+                 routes={count} source={source}"
+                ),
+            ));
+            self.digest_due = self.ticked;
+        }
+    }
+
+    /// A client's packet.
+    pub fn packet(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let Some(route) = self.routes.get(&flow.destination) else {
+            self.unroutable(segment, out);
+            return;
+        };
+        if segment.opens() {
+            let service = route.service(&flow).to_owned();
+            self.open(segment, packet, service, now, out);
+            return;
+        }
+        if let Some(known) = self.flows.get_mut(&flow) {
+            known.seen = now;
+            known.acknowledged = segment.acknowledgement;
+            known.choose(segment.acknowledgement);
+            let (agent, confirmed) = (known.agent, known.confirmed);
+            let gone = self
+                .roster
+                .get(&agent)
+                .is_none_or(|entry| entry.member.state == State::Gone);
+            if confirmed && !gone {
+                let forward = self.forward(&flow, packet, Vec::new());
+                out.push(Output::Send(agent, Message::Forward(forward)));
+                return;
+            }
+        }
+        self.lookup(segment, packet, now, out);
+    }
+
+    /// A message from an agent or a peer.
+    pub fn message(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        decode: impl Fn(&[u8]) -> Option<Segment>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Owner(owner) => self.owner(owner, now, out),
+            Message::Announce(announce) => self.announce(announce, now, out),
+            Message::Digest(digest) => self.digest(from, digest, now, out),
+            Message::Exhausted(forward) => {
+                if let Some(segment) = decode(&forward.packet) {
+                    self.exhausted(segment, &forward, now, out);
+                }
+            }
+            Message::Forward(_) | Message::Balancers(_) => {
+                out.push(note(
+                    Topic::MessageIgnored,
+                    format!("from={from} reason=not_for_a_balancer"),
+                ));
+            }
+        }
+    }
+
+    /// Runs everything that is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let pause = now.saturating_duration_since(self.ticked);
+        if pause > PAUSE {
+            self.roster.resumed(pause);
+            for heard in self.peers.values_mut() {
+                *heard += pause;
+            }
+            out.push(note(
+                Topic::Resumed,
+                format!("pause_ms={}", pause.as_millis()),
+            ));
+        }
+        self.ticked = now;
+        self.hedge(now, out);
+        if now >= self.judge_due {
+            self.judge_due = now + JUDGE_EVERY;
+            self.judge(out);
+        }
+        if now >= self.digest_due {
+            self.digest_due = now + DIGEST_EVERY;
+            self.send_digests(now, out);
+        }
+        if now >= self.expire_due {
+            self.expire_due = now + EXPIRE_EVERY;
+            self.roster.expire(now);
+            self.flows
+                .retain(|_, known| now.saturating_duration_since(known.seen) < FORGET_FLOW_AFTER);
+            self.peers
+                .retain(|_, heard| now.saturating_duration_since(*heard) < FORGET_PEER_AFTER);
+        }
+    }
+
+    /// A packet to an address without a route. Nothing is answered: a reset could end a flow of a
+    /// configuration that this balancer hasn't seen yet.
+    fn unroutable(&mut self, segment: Segment, out: &mut Vec<Output>) {
+        if segment.opens() {
+            out.push(note(
+                Topic::Dropped,
+                format!(
+                    "flow={} reason=no_route generation={}",
+                    segment.flow,
+                    self.routes.generation()
+                ),
+            ));
+        }
+    }
+
+    /// A packet on its way, for an open flow whose agent is known unless the caller changes that.
+    fn forward(&self, flow: &Flow, packet: Vec<u8>, candidates: Vec<SocketAddr>) -> Forward {
+        let route = self.routes.get(&flow.destination);
+        Forward {
+            at_most_once: route.is_none_or(|route| route.repeat == Repeat::AtMostOnce),
+            service: String::new(),
+            origin: self.address,
+            lookup: false,
+            candidates,
+            passes: 0,
+            complete: false,
+            packet,
+        }
+    }
+}
+
+fn note(topic: Topic, text: String) -> Output {
+    Output::Note(Note::new(topic, text))
+}
--- /dev/null
+++ b/src/steering/balancer/opening.rs
@@ -0,0 +1,136 @@
+//! New flows: placement and hedging.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::packet::Flow;
+use crate::steering::known::Known;
+use crate::steering::message::Message;
+use crate::steering::note::Topic;
+use crate::steering::segment::Segment;
+
+use super::{note, Balancer, Output, CANDIDATES_MAX};
+
+/// Time for an agent to report an accepted flow before another one is asked: several round trips
+/// between failure domains.
+const HEDGE_AFTER: Duration = Duration::from_millis(60);
+/// Agents asked for one opening packet before the client sends its next copy.
+const HEDGES_MAX: u8 = 2;
+
+/// An opening packet whose acceptance is awaited.
+#[derive(Debug)]
+pub(super) struct Opening {
+    flow: Flow,
+    packet: Vec<u8>,
+    service: String,
+    hedges: u8,
+    due: Instant,
+}
+
+impl Balancer {
+    pub(super) fn open(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        service: String,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let openers = self.roster.openers(&service, &flow, now);
+        let known = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Known::new(self.address, now));
+        known.seen = now;
+        // A copy goes to an agent that hasn't had the packet: the others may be out of reach.
+        let fresh = |agent: &&SocketAddr| !known.asked.contains(agent);
+        let first = openers.iter().find(fresh).or(openers.first()).copied();
+        let Some(first) = first else {
+            out.push(note(
+                Topic::Dropped,
+                format!(
+                    "flow={flow} service={service} reason=no_server agents={}",
+                    self.roster.len()
+                ),
+            ));
+            return;
+        };
+        if known.asked.is_empty() {
+            known.agent = first;
+        }
+        if !known.asked.contains(&first) {
+            known.asked.push(first);
+        }
+        let asked = known.asked.clone();
+        let rest: Vec<_> = openers
+            .into_iter()
+            .filter(|agent| !asked.contains(agent))
+            .take(CANDIDATES_MAX)
+            .collect();
+        out.push(note(
+            Topic::Placed,
+            format!(
+                "flow={flow} service={service} agent={first} copy={} generation={}",
+                segment.acknowledgement,
+                self.routes.generation()
+            ),
+        ));
+        self.roster.opened(&first);
+        self.opening.push_back(Opening {
+            flow,
+            packet: packet.clone(),
+            service: service.clone(),
+            hedges: 0,
+            due: now + HEDGE_AFTER,
+        });
+        let mut forward = self.forward(&flow, packet, rest);
+        forward.service = service;
+        out.push(Output::Send(first, Message::Forward(forward)));
+    }
+
+    /// Gives opening packets without an answer to another agent.
+    pub(super) fn hedge(&mut self, now: Instant, out: &mut Vec<Output>) {
+        while self
+            .opening
+            .front()
+            .is_some_and(|opening| opening.due <= now)
+        {
+            let Some(mut opening) = self.opening.pop_front() else {
+                return;
+            };
+            let Some(known) = self.flows.get_mut(&opening.flow) else {
+                continue;
+            };
+            if known.confirmed || opening.hedges >= HEDGES_MAX {
+                continue;
+            }
+            let openers = self.roster.openers(&opening.service, &opening.flow, now);
+            let asked = known.asked.clone();
+            let mut rest = openers.into_iter().filter(|agent| !asked.contains(agent));
+            let Some(next) = rest.next() else {
+                continue;
+            };
+            known.asked.push(next);
+            out.push(note(
+                Topic::PlacedAgain,
+                format!(
+                    "flow={} service={} agent={next} reason=no_acceptance \
+                 waited_ms={}",
+                    opening.flow,
+                    opening.service,
+                    HEDGE_AFTER.as_millis()
+                ),
+            ));
+            let rest = rest.take(CANDIDATES_MAX).collect();
+            let (service, packet) = (opening.service.clone(), opening.packet.clone());
+            let flow = opening.flow;
+            opening.hedges += 1;
+            opening.due = now + HEDGE_AFTER;
+            self.opening.push_back(opening);
+            let mut forward = self.forward(&flow, packet, rest);
+            forward.service = service;
+            out.push(Output::Send(next, Message::Forward(forward)));
+        }
+    }
+}
--- /dev/null
+++ b/src/steering/balancer/search.rs
@@ -0,0 +1,142 @@
+//! Searches for the agent of an open flow.
+
+use std::time::{Duration, Instant};
+
+use crate::packet::{Flow, Protocol};
+use crate::steering::known::{Acceptance, Known};
+use crate::steering::message::{Forward, Message, Owner};
+use crate::steering::note::Topic;
+use crate::steering::segment::Segment;
+
+use super::{note, Balancer, Output, CANDIDATES_MAX};
+
+/// Time after the start before a search without a result counts as evidence that a flow's server
+/// is gone.
+const LEARN_TIME: Duration = Duration::from_millis(600);
+
+impl Balancer {
+    /// Sends a packet of a flow whose agent isn't known along the candidates.
+    pub(super) fn lookup(
+        &mut self,
+        segment: Segment,
+        packet: Vec<u8>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let routes = &self.routes;
+        let likely = |service: &str| routes.allowed(&flow.destination, service);
+        let mut holders = self.roster.holders(likely, &flow, now);
+        // Agents missing in the directory have announced themselves by then.
+        let learned = self.listed && now.saturating_duration_since(self.started) > LEARN_TIME;
+        let complete = learned && holders.len() <= CANDIDATES_MAX;
+        holders.truncate(CANDIDATES_MAX);
+        if holders.is_empty() {
+            return;
+        }
+        let known = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Known::new(holders[0], now));
+        known.seen = now;
+        // Agents that were asked to open the flow come first.
+        let (asked, agent) = (&known.asked, known.agent);
+        holders.sort_by_key(|holder| (*holder != agent, !asked.contains(holder)));
+        // A candidate out of reach would stop every lookup at the same place.
+        let skip = known.lookups as usize / 2 % holders.len();
+        known.lookups += 1;
+        holders.rotate_left(skip);
+        if known.lookups == 1 && asked.is_empty() {
+            out.push(note(
+                Topic::Lookup,
+                format!(
+                    "flow={flow} first={} candidates={}",
+                    holders[0],
+                    holders.len()
+                ),
+            ));
+        }
+        let first = holders.remove(0);
+        let mut forward = self.forward(&flow, packet, holders);
+        forward.lookup = true;
+        forward.complete = complete;
+        out.push(Output::Send(first, Message::Forward(forward)));
+    }
+
+    pub(super) fn owner(&mut self, owner: Owner, now: Instant, out: &mut Vec<Output>) {
+        self.roster.heard(&owner.agent, now);
+        let flow = Flow {
+            protocol: Protocol::Tcp,
+            source: owner.client,
+            destination: owner.address,
+        };
+        let known = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Known::new(owner.agent, now));
+        known.lookups = 0;
+        let Some(sequence) = owner.accepted else {
+            known.own(owner.agent, owner.process);
+            known.accepted.clear();
+            return;
+        };
+        if !known.confirmed {
+            let latency = now.saturating_duration_since(known.since);
+            out.push(Output::Latency(latency));
+        }
+        if known.accepted.is_empty() {
+            known.own(owner.agent, owner.process);
+        }
+        known.accepted.push(Acceptance {
+            sequence,
+            agent: owner.agent,
+            process: owner.process,
+        });
+    }
+
+    /// No candidate took the packet.
+    pub(super) fn exhausted(
+        &mut self,
+        segment: Segment,
+        forward: &Forward,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        if segment.opens() {
+            // Another agent that was asked may still accept the flow.
+            let only = |known: &Known| !known.confirmed && known.asked.len() <= 1;
+            if self.flows.get(&flow).is_some_and(only) {
+                self.flows.remove(&flow);
+                self.reset(segment, "no_server_accepts", out);
+            }
+            return;
+        }
+        if !forward.lookup {
+            if let Some(known) = self.flows.get_mut(&flow) {
+                known.confirmed = false;
+            }
+            self.lookup(segment, forward.packet.clone(), now, out);
+            return;
+        }
+        if forward.complete {
+            self.flows.remove(&flow);
+            self.reset(segment, "no_server_holds_it", out);
+        }
+    }
+
+    fn reset(&self, segment: Segment, reason: &str, out: &mut Vec<Output>) {
+        out.push(note(
+            Topic::Reset,
+            format!(
+                "flow={} reason={reason} agents={}",
+                segment.flow,
+                self.roster.len()
+            ),
+        ));
+        out.push(Output::Reset {
+            flow: segment.flow,
+            sequence: segment.acknowledgement,
+        });
+    }
+}
