Explain a flow or member from the logs of several processes

Cause: the operations guide asked on-call engineers to grep a flow in the logs of all processes and sort by hand; what the processes involved went through at that time (restarts, lost store, changed beliefs) was not found that way. Change: the module explain and the command of that name. No effect on the daemons, so nothing was measured.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::config::{diff, Config, Target, Timestamp};
+use crate::explain;
 use crate::files;
 use crate::id::{Generation, Member};
 use crate::jsonc::{parse_duration, DurationText};
@@ -98,6 +99,7 @@
     Status(StatusCommand),
     Drain(DrainCommand),
     Undrain(UndrainCommand),
+    Explain(ExplainCommand),
 }
 
 /// Check the configuration files of a directory. Doesn't use the store.
@@ -198,6 +200,23 @@
     author: String,
 }
 
+/// Merge logs into the story of a flow or a member. Doesn't use the store.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+struct ExplainCommand {
+    /// flow, server or address of a member, as the logs write it
+    #[argh(positional)]
+    subject: String,
+
+    /// log files, one for each process; `-` is standard input
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+
+    /// time around the subject's lines from which others are shown (default 5s)
+    #[argh(option, from_str_fn(duration), default = "explain::MARGIN")]
+    margin: Duration,
+}
+
 const WAIT: Duration = Duration::from_secs(15);
 
 fn duration(text: &str) -> Result<Duration, String> {
@@ -319,6 +338,7 @@
     let connect = || Session::new(arguments.store.as_deref(), arguments.deadline);
     match arguments.command {
         Command::Check(command) => check(&command.directory, out),
+        Command::Explain(command) => explain(&command, out),
         Command::Diff(command) => {
             let draft = draft(&command.directory)?;
             let base = connect()?.load().await?;
@@ -389,6 +409,39 @@
     Ok(())
 }
 
+/// Prints the story of a flow or a member.
+fn explain(command: &ExplainCommand, out: &mut dyn Write) -> Result<(), Stop> {
+    if command.logs.is_empty() {
+        return Err(Stop::new(Exit::Usage, "expected one or more log files"));
+    }
+    let mut lines = Vec::new();
+    for path in &command.logs {
+        let text = match path.to_str() {
+            Some("-") => std::io::read_to_string(std::io::stdin()),
+            _ => std::fs::read(path).map(|bytes| String::from_utf8_lossy(&bytes).into_owned()),
+        };
+        let text = text.map_err(|error| {
+            let message = format!("can't read {}: {error}", path.display());
+            Stop::new(Exit::Failure, message)
+        })?;
+        let node = path.file_stem().unwrap_or_default().to_string_lossy();
+        lines.extend(
+            text.lines()
+                .filter_map(|line| explain::Line::parse(&node, line)),
+        );
+    }
+    let count = lines.len();
+    let story = explain::story(lines, &command.subject, command.margin);
+    if story.is_empty() {
+        let message = format!("none of {count} lines names {}", command.subject);
+        return Err(Stop::new(Exit::Failure, message));
+    }
+    for entry in story {
+        print(out, &entry.to_string());
+    }
+    Ok(())
+}
+
 fn target(server: Option<Member>, host: Option<IpAddr>) -> Result<Target, Stop> {
     match (server, host) {
         (Some(server), None) => Ok(Target::Server(server)),
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,149 @@
+//! Merges the logs of several processes into the story of one flow or one member.
+//!
+//! ```
+//! use flamingofall::explain::{self, Line};
+//!
+//! let log = [
+//!     "time=10.000 level=info event=member agent=10.1.0.12:8352 state=ready",
+//!     "time=12.500 level=info decision=placed flow=tcp/192.0.2.7:1047>198.18.0.1:443 agent=10.1.0.12:8352",
+//!     "time=12.600 level=info decision=placed flow=tcp/192.0.2.9:1030>198.18.0.1:443 agent=10.1.0.13:8352",
+//! ];
+//! let lines = log.iter().filter_map(|text| Line::parse("edge-1", text)).collect();
+//! let story = explain::story(lines, "tcp/192.0.2.7:1047>198.18.0.1:443", explain::MARGIN);
+//! assert_eq!(story.len(), 2);
+//! assert!(!story[0].direct && story[1].direct);
+//! ```
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+
+/// Time before the first and after the last line of the subject from which context is shown.
+pub const MARGIN: Duration = Duration::from_secs(5);
+/// Keys whose values name the subject of a line.
+const SUBJECT_KEYS: [&str; 2] = ["flow", "server"];
+/// Keys whose values name a member.
+const MEMBER_KEYS: [&str; 5] = ["agent", "owner", "member", "to", "first"];
+
+/// A log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// The process that wrote it.
+    pub node: String,
+    /// Seconds since the Unix epoch, by the clock of the process's host.
+    pub time: f64,
+    /// Key=value pairs after the time, as written.
+    pub text: String,
+}
+
+/// A line of a story.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The line.
+    pub line: Line,
+    /// Seconds since the first line about the subject; negative before it.
+    pub offset: f64,
+    /// Whether the line is about the subject itself, and not about a process or member involved.
+    pub direct: bool,
+}
+
+impl Line {
+    /// Reads a line of `key=value` pairs. A name before the pairs, as log collectors add it,
+    /// replaces `node`. Returns `None` for a line without a time.
+    pub fn parse(node: &str, text: &str) -> Option<Self> {
+        let start = text.find("time=")?;
+        let (prefix, pairs) = text.split_at(start);
+        let (time, rest) = pairs.split_once(' ').unwrap_or((pairs, ""));
+        let time = time.strip_prefix("time=")?.parse().ok()?;
+        let named = prefix
+            .split_whitespace()
+            .map(|word| word.trim_matches(|c: char| !c.is_alphanumeric()))
+            .rfind(|word| word.parse::<f64>().is_err() && !word.is_empty());
+        Some(Self {
+            node: named.unwrap_or(node).to_owned(),
+            time,
+            text: rest.trim_end().to_owned(),
+        })
+    }
+
+    /// The value of a key; quotes around it are left out.
+    pub fn get(&self, key: &str) -> Option<&str> {
+        self.pairs().find(|(k, _)| *k == key).map(|(_, v)| v)
+    }
+
+    /// The pairs in order. A quoted value may contain spaces.
+    fn pairs(&self) -> impl Iterator<Item = (&str, &str)> {
+        let mut rest = self.text.as_str();
+        std::iter::from_fn(move || {
+            let (key, after) = rest.trim_start().split_once('=')?;
+            let (value, next) = match after.strip_prefix('"') {
+                Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+                None => after.split_once(' ').unwrap_or((after, "")),
+            };
+            rest = next;
+            Some((key, value))
+        })
+    }
+
+    fn names(&self, subject: &str, keys: &[&str]) -> bool {
+        self.pairs()
+            .any(|(key, value)| value == subject && keys.contains(&key))
+    }
+
+    /// Whether it tells of a decision about a single flow.
+    fn is_decision(&self) -> bool {
+        self.get("decision").is_some()
+    }
+}
+
+/// The lines about a subject (a flow, a server or a member's address, as the logs write it), in the
+/// order of time, with what the processes and members involved went through within `margin`.
+///
+/// Clocks of hosts may differ, so lines of different processes that are milliseconds apart may be
+/// out of order.
+pub fn story(mut lines: Vec<Line>, subject: &str, margin: Duration) -> Vec<Entry> {
+    lines.sort_by(|a, b| a.time.total_cmp(&b.time));
+    let direct = |line: &Line| {
+        line.names(subject, &SUBJECT_KEYS)
+            || (line.names(subject, &MEMBER_KEYS) && !line.is_decision())
+    };
+    let about: Vec<&Line> = lines.iter().filter(|line| direct(line)).collect();
+    let (Some(first), Some(last)) = (about.first(), about.last()) else {
+        return Vec::new();
+    };
+    let (begun, ended) = (first.time, last.time);
+    let nodes: BTreeSet<&str> = about.iter().map(|line| line.node.as_str()).collect();
+    let members: BTreeSet<&str> = about
+        .iter()
+        .flat_map(|line| line.pairs())
+        .filter(|(key, _)| MEMBER_KEYS.contains(key))
+        .map(|(_, value)| value)
+        .collect();
+    let margin = margin.as_secs_f64();
+    let is_context = |line: &Line| {
+        let near = line.time >= begun - margin && line.time <= ended + margin;
+        let involved = nodes.contains(line.node.as_str())
+            && line.pairs().all(|(key, value)| {
+                // Beliefs about members that have no part in the story are left out.
+                !MEMBER_KEYS.contains(&key) || members.contains(value)
+            });
+        near && involved && !line.is_decision()
+    };
+    lines
+        .iter()
+        .filter(|line| direct(line) || is_context(line))
+        .map(|line| Entry {
+            line: line.clone(),
+            offset: line.time - begun,
+            direct: direct(line),
+        })
+        .collect()
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.direct { '*' } else { ' ' };
+        let Line { node, text, .. } = &self.line;
+        write!(f, "{mark} {:+9.3} {node} {text}", self.offset)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod datapath;
 pub mod decision;
 pub mod encap;
+pub mod explain;
 pub mod files;
 pub mod fleet;
 pub mod flow;
