Add the fault soak: the real programs under faults injected from outside

Change: the crate soak, with stand-ins of the store, its proxies, the fabric, clients and servers. The emulator's clients and servers run behind real sockets, and its checks are a module of their own, check, used by both. New checks: requests run once, refused ones never, in the emulator too. Traced with flamingofall explain: servers of the stand-in that started in the same millisecond numbered their acceptances alike, so an acknowledgement opened the flow at two servers, and they ran copies of a running request. Both are faults of the stand-in; mended, and kept as a case.

--- a/emulator/src/client.rs
+++ b/emulator/src/client.rs
@@ -33,17 +33,29 @@
     Open { sequence: u32 },
 }
 
+/// How a client behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    /// Opens a flow for each request.
+    pub fresh: bool,
+    /// Repeats a request although its server may have run it.
+    pub repeats: bool,
+    /// Time for a request.
+    pub deadline: Duration,
+}
+
 /// A client.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
     ip: Ipv4Addr,
     port: u16,
-    fresh: bool,
+    habits: Habits,
     phase: Phase,
     /// The request in progress.
     pub request: Option<Request>,
-    deadline: Duration,
+    /// The request was sent on an open flow, so a server may have run it.
+    sent: bool,
     due: Option<Duration>,
     interval: Duration,
 }
@@ -53,36 +65,36 @@
 pub enum Outcome {
     /// Answered.
     Served,
-    /// Given up.
+    /// Refused: no server has run it.
+    Refused,
+    /// Given up, with an unknown outcome.
     Failed,
 }
 
 impl Client {
-    /// A client of the service at `address`.
-    pub fn new(index: usize, address: SocketAddr, fresh: bool, deadline: Duration) -> Self {
-        let [_, _, high, low] = (index as u32 + 1).to_be_bytes();
+    /// A client at `ip` of the service at `address`.
+    pub fn new(ip: Ipv4Addr, address: SocketAddr, habits: Habits) -> Self {
         Self {
             address,
-            ip: Ipv4Addr::new(100, 64, high, low),
+            ip,
             port: 1024,
-            fresh,
+            habits,
             phase: Phase::Closed,
             request: None,
-            deadline,
+            sent: false,
             due: None,
             interval: RETRANSMIT,
         }
     }
 
-    /// The client with this address, by index.
-    pub fn index(client: SocketAddr) -> Option<usize> {
-        match client {
-            SocketAddr::V4(v4) => {
-                let [_, _, high, low] = v4.ip().octets();
-                (usize::from(high) << 8 | usize::from(low)).checked_sub(1)
-            }
-            SocketAddr::V6(_) => None,
-        }
+    /// Its address.
+    pub fn ip(&self) -> Ipv4Addr {
+        self.ip
+    }
+
+    /// Whether it repeats a request although its server may have run it.
+    pub fn repeats(&self) -> bool {
+        self.habits.repeats
     }
 
     /// When [`Client::timer`] is due.
@@ -97,6 +109,7 @@
             asked: now,
             tries: 0,
         });
+        self.sent = false;
         match self.phase {
             Phase::Open { .. } => self.send(now),
             _ => self.open(now),
@@ -116,6 +129,7 @@
     fn send(&mut self, now: Duration) -> Vec<Packet> {
         self.interval = RETRANSMIT;
         self.due = Some(now + self.interval);
+        self.sent = true;
         self.data()
     }
 
@@ -162,7 +176,7 @@
         self.request = None;
         self.due = None;
         let mut packets = Vec::new();
-        if self.fresh {
+        if self.habits.fresh {
             packets.push(self.packet(Action::Finish, 0, None));
             self.phase = Phase::Closed;
         }
@@ -177,13 +191,21 @@
             return (Vec::new(), None);
         };
         request.tries += 1;
-        if request.tries > RETRIES {
+        if request.tries > RETRIES || (self.sent && !self.habits.repeats) {
             self.request = None;
-            return (Vec::new(), Some(Outcome::Failed));
+            return (Vec::new(), Some(self.unanswered()));
         }
         (self.open(now), None)
     }
 
+    fn unanswered(&self) -> Outcome {
+        if self.sent {
+            Outcome::Failed
+        } else {
+            Outcome::Refused
+        }
+    }
+
     /// Runs what is due.
     pub fn timer(&mut self, now: Duration) -> (Vec<Packet>, Option<Outcome>) {
         if self.due.is_none_or(|due| due > now) {
@@ -193,11 +215,11 @@
             self.due = None;
             return (Vec::new(), None);
         };
-        if now >= request.asked + self.deadline {
+        if now >= request.asked + self.habits.deadline {
             self.request = None;
             self.phase = Phase::Closed;
             self.due = None;
-            return (Vec::new(), Some(Outcome::Failed));
+            return (Vec::new(), Some(self.unanswered()));
         }
         match self.phase {
             Phase::Opening { since, copies } if (copies as usize) < COPIES.len() => {
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! seed and returns a [`report::Report`] with what clients received and which guarantees broke.
 //! The cores are the product's own; everything around them is a model.
 
+pub mod check;
 pub mod client;
 pub mod directory;
 pub mod packet;
--- a/emulator/src/report.rs
+++ b/emulator/src/report.rs
@@ -1,10 +1,13 @@
 //! What a run showed.
 
 use std::fmt;
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::check::Broken;
+
 /// Outcomes of requests and broken guarantees.
 #[derive(Debug)]
 pub struct Report {
@@ -70,9 +73,10 @@
     }
 
     /// Records a broken guarantee.
-    pub fn broke(&mut self, what: String) {
+    pub fn broke(&mut self, at: Duration, what: &Broken) {
         if self.broken.len() < Self::BROKEN_MAX {
-            self.broken.push(what);
+            self.broken
+                .push(format!("{:.3} s: {what}", at.as_secs_f64()));
         }
     }
 
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -26,6 +26,8 @@
     pub pause_ms: u64,
     /// Share of clients that open a flow for each request.
     pub fresh: f64,
+    /// Share of clients that repeat a request although its server may have run it.
+    pub repeats: f64,
     /// One-way delay between hosts in milliseconds.
     pub delay_ms: f64,
     /// Share of datagrams lost.
@@ -52,6 +54,7 @@
             clients: 150,
             pause_ms: 400,
             fresh: 0.3,
+            repeats: 0.8,
             delay_ms: 3.0,
             loss: 0.001,
             deadline_ms: 2000,
--- a/emulator/src/server.rs
+++ b/emulator/src/server.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
+use flamingofall::hash::hash_bytes;
 use flamingofall::id::Slots;
 use flamingofall::packet::Flow;
 use flamingofall::steering::agent::Heartbeat;
@@ -29,6 +30,8 @@
     flows: HashMap<Flow, (u32, bool)>,
     /// Flows that this server has closed.
     closed: HashSet<Flow>,
+    /// The last request of each flow.
+    accepted: HashMap<Flow, u64>,
     answered: HashMap<Flow, Packet>,
     running: u32,
     waiting: VecDeque<Packet>,
@@ -55,6 +58,8 @@
         limits: (u32, usize, Duration),
     ) -> Self {
         let (slots, queue, work) = limits;
+        // Servers that start at the same time number their acceptances differently.
+        let next_accept = hash_bytes(name.as_bytes()) as u32 ^ started as u32;
         Self {
             name,
             started,
@@ -66,10 +71,11 @@
             sequence: 0,
             flows: HashMap::new(),
             closed: HashSet::new(),
+            accepted: HashMap::new(),
             answered: HashMap::new(),
             running: 0,
             waiting: VecDeque::new(),
-            next_accept: started as u32 | 1,
+            next_accept,
         }
     }
 
@@ -100,7 +106,7 @@
         let flow = packet.flow();
         match packet.action {
             Action::Open => {
-                self.next_accept += 1000;
+                self.next_accept = self.next_accept.wrapping_add(1000);
                 let accept = self.next_accept;
                 let (sequence, _) = *self.flows.entry(flow).or_insert((accept, false));
                 vec![Effect::Send(reply(&packet, Action::Accept, sequence, None))]
@@ -140,12 +146,11 @@
                 return vec![Effect::Send(answer.clone())];
             }
         }
-        let same = |waiting: &Packet| waiting.request == Some(request);
-        if self.waiting.iter().any(same) {
+        // Copies of a packet that is being worked on, or that waits, are only acknowledged.
+        if self.accepted.get(&flow) == Some(&request) {
             return Vec::new();
         }
-        self.answered
-            .insert(flow, reply(&packet, Action::Data, 0, None));
+        self.accepted.insert(flow, request);
         if self.running < self.slots {
             self.running += 1;
             return vec![Effect::Work(packet, self.work)];
@@ -154,6 +159,9 @@
             self.waiting.push_back(packet);
             return Vec::new();
         }
+        // Shed: the flow ends.
+        self.flows.remove(&flow);
+        self.closed.insert(flow);
         vec![Effect::Send(reply(&packet, Action::Reset, 0, None))]
     }
 
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -1,7 +1,7 @@
 //! Plays a scenario.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::BinaryHeap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::client::{Client, Outcome};
+use crate::check::{Arrival, Broken, Checker};
+use crate::client::{Client, Habits, Outcome, Request};
 use crate::directory::Directory;
 use crate::packet::{decode, Action, Packet};
 use crate::report::Report;
@@ -37,10 +38,6 @@
 const DRAIN: Duration = Duration::from_secs(4);
 /// Time after which a draining server may get no new flows.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
-/// Span in which packets of an open flow may all reach other servers.
-const WANDER_LIMIT: Duration = Duration::from_secs(2);
-/// Packets that must have gone astray in that span.
-const WANDER_PACKETS: u32 = 3;
 
 /// Something that happens at a time.
 #[derive(Debug)]
@@ -99,8 +96,7 @@
     hosts: Vec<Host>,
     clients: Vec<Client>,
     directory: Directory,
-    allowed: HashSet<(SocketAddr, String)>,
-    astray: HashMap<Flow, (Duration, u32)>,
+    checker: Checker,
     ends: Duration,
     next_id: u64,
     report: Report,
@@ -134,6 +130,21 @@
     SocketAddr::from((Ipv4Addr::new(198, 18, 0, index as u8 + 1), 443))
 }
 
+fn client_ip(index: usize) -> Ipv4Addr {
+    let [_, _, high, low] = (index as u32 + 1).to_be_bytes();
+    Ipv4Addr::new(100, 64, high, low)
+}
+
+fn client_index(client: SocketAddr) -> Option<usize> {
+    match client {
+        SocketAddr::V4(v4) => {
+            let [_, _, high, low] = v4.ip().octets();
+            (usize::from(high) << 8 | usize::from(low)).checked_sub(1)
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
 fn service(index: usize) -> String {
     format!("service-{index}")
 }
@@ -156,8 +167,7 @@
                 up: true,
                 ..Directory::default()
             },
-            allowed: HashSet::new(),
-            astray: HashMap::new(),
+            checker: Checker::new(DRAIN_LIMIT),
             ends,
             next_id: 0,
             report: Report::new(),
@@ -172,11 +182,14 @@
                 world.add_host(service(index));
             }
         }
-        let deadline = Duration::from_millis(world.scenario.deadline_ms);
         for index in 0..world.scenario.clients {
-            let fresh = world.random.random_bool(world.scenario.fresh);
+            let habits = Habits {
+                fresh: world.random.random_bool(world.scenario.fresh),
+                repeats: world.random.random_bool(world.scenario.repeats),
+                deadline: Duration::from_millis(world.scenario.deadline_ms),
+            };
             let target = address(index % world.scenario.servers.len());
-            let client = Client::new(index, target, fresh, deadline);
+            let client = Client::new(client_ip(index), target, habits);
             world.clients.push(client);
             let wait = world.pause();
             world.at(lead + wait, Event::Ask(index));
@@ -236,8 +249,7 @@
                 });
             }
             for target in &targets {
-                self.allowed
-                    .insert((address(index), target.service.clone()));
+                self.checker.allow(address(index), &target.service);
             }
             routes.push(Route {
                 name: format!("route-{index}"),
@@ -362,33 +374,37 @@
     }
 
     fn client_timer(&mut self, index: usize) {
-        let asked = self.clients[index].request.map(|request| request.asked);
+        let request = self.clients[index].request;
         let (packets, outcome) = self.clients[index].timer(self.now);
-        self.client_did(index, asked, packets, outcome);
+        self.client_did(index, request, packets, outcome);
     }
 
     fn client_receives(&mut self, packet: &Packet) {
-        let Some(index) = Client::index(packet.client) else {
+        let Some(index) = client_index(packet.client) else {
             return;
         };
-        let asked = self.clients[index].request.map(|request| request.asked);
+        let request = self.clients[index].request;
         let (packets, outcome) = self.clients[index].packet_in(packet, self.now);
-        self.client_did(index, asked, packets, outcome);
+        self.client_did(index, request, packets, outcome);
     }
 
     fn client_did(
         &mut self,
         index: usize,
-        asked: Option<Duration>,
+        request: Option<Request>,
         packets: Vec<Packet>,
         outcome: Option<Outcome>,
     ) {
         let active = !packets.is_empty() || outcome.is_some();
         self.send_clients(packets);
-        if let (Some(outcome), Some(asked)) = (outcome, asked) {
+        if let (Some(outcome), Some(Request { id, asked, .. })) = (outcome, request) {
             let lead = Duration::from_secs_f64(LEAD_S);
             let second = asked.saturating_sub(lead).as_secs() as usize;
             self.report.ended(second, outcome == Outcome::Served);
+            let ran = self.checker.ended(id, outcome);
+            if let Some(broken) = ran {
+                self.report.broke(self.now, &broken);
+            }
             if outcome == Outcome::Served {
                 let latency = (self.now - asked).as_micros() as u64;
                 self.report.latency.saturating_record(latency.max(1));
@@ -456,7 +472,10 @@
         let mut out = Vec::new();
         match (Message::decode(bytes), &mut self.gates[index].core) {
             (Ok(message), Some(core)) => core.message(from, message, decode, now, &mut out),
-            (Err(error), _) => self.report.broke(format!("unreadable message: {error}")),
+            (Err(error), _) => {
+                let broken = Broken::Unreadable(error.to_string());
+                self.report.broke(self.now, &broken);
+            }
             (Ok(_), None) => {}
         }
         self.balancer_outputs(index, out);
@@ -505,12 +524,12 @@
             .iter()
             .find_map(|host| host.server.as_ref().filter(|server| server.holds(&flow)));
         if let Some(server) = holder {
-            let what = format!(
-                "{:.3} s: {by} reset {flow} which {} holds",
-                self.now.as_secs_f64(),
-                server.name
-            );
-            self.report.broke(what);
+            let broken = Broken::Reset {
+                by: by.to_owned(),
+                flow,
+                server: server.name.clone(),
+            };
+            self.report.broke(self.now, &broken);
         }
         let packet = Packet {
             client: flow.source,
@@ -591,7 +610,10 @@
         let mut out = Vec::new();
         match (Message::decode(bytes), &mut self.hosts[index].core) {
             (Ok(message), Some(core)) => core.message(from, message, decode, now, &mut out),
-            (Err(error), _) => self.report.broke(format!("unreadable message: {error}")),
+            (Err(error), _) => {
+                let broken = Broken::Unreadable(error.to_string());
+                self.report.broke(self.now, &broken);
+            }
             (Ok(_), None) => {}
         }
         self.agent_outputs(index, out);
@@ -690,45 +712,27 @@
     /// Checks a packet that reaches a server against the guarantees.
     fn judge(&mut self, index: usize, packet: &Packet) {
         let flow = packet.flow();
-        let at = self.now.as_secs_f64();
         let host = &self.hosts[index];
         let Some(server) = &host.server else {
             return;
         };
-        if packet.action == Action::Open {
+        let opening = packet.action == Action::Open;
+        if opening {
             self.report.openings += 1;
-            let late = host
-                .drained
-                .is_some_and(|since| self.now > since + DRAIN_LIMIT);
-            if late {
-                let what = format!("{at:.3} s: {flow} reached {} after its drain", server.name);
-                self.report.broke(what);
-            }
-            let key = (packet.address, server.service.clone());
-            if !self.allowed.contains(&key) {
-                let what = format!(
-                    "{at:.3} s: {flow} reached {} of another service",
-                    server.name
-                );
-                self.report.broke(what);
-            }
-            return;
-        }
-        if server.holds(&flow) {
-            self.astray.remove(&flow);
-            return;
         }
-        let held = self.hosts.iter().any(|other| {
-            other.core.is_some() && other.server.as_ref().is_some_and(|s| s.holds(&flow))
-        });
-        if held {
-            let (since, count) = self.astray.entry(flow).or_insert((self.now, 0));
-            *count += 1;
-            if *count >= WANDER_PACKETS && self.now > *since + WANDER_LIMIT {
-                let what = format!("{at:.3} s: packets of {flow} don't reach its server");
-                self.report.broke(what);
-                self.astray.remove(&flow);
-            }
+        let arrival = Arrival {
+            flow,
+            opening,
+            server: &server.name,
+            service: &server.service,
+            holds: server.holds(&flow),
+            held_elsewhere: self.hosts.iter().any(|other| {
+                other.core.is_some() && other.server.as_ref().is_some_and(|s| s.holds(&flow))
+            }),
+            drained: host.drained,
+        };
+        if let Some(broken) = self.checker.arrival(&arrival, self.now) {
+            self.report.broke(self.now, &broken);
         }
     }
 
@@ -743,6 +747,12 @@
                     self.after(LOCAL, Event::FromServer(index, token, packet));
                 }
                 Effect::Work(packet, time) => {
+                    let id = packet.request.unwrap_or_default();
+                    let repeats = client_index(packet.client)
+                        .is_some_and(|client| self.clients[client].repeats());
+                    if let Some(broken) = self.checker.runs(id, repeats) {
+                        self.report.broke(self.now, &broken);
+                    }
                     let name = name.clone().unwrap_or_default();
                     self.after(time, Event::Worked(index, name, packet));
                 }
--- /dev/null
+++ b/emulator/tests/check.rs
@@ -0,0 +1,135 @@
+//! Each check notices its violation.
+
+use std::time::Duration;
+
+use flamingofall::packet::{Flow, Protocol};
+use flamingofall_emulator::check::{Arrival, Broken, Checker};
+use flamingofall_emulator::client::Outcome;
+
+const LIMIT: Duration = Duration::from_secs(3);
+
+fn flow() -> Flow {
+    Flow {
+        protocol: Protocol::Tcp,
+        source: "100.64.0.1:1025".parse().unwrap(),
+        destination: "198.18.0.1:443".parse().unwrap(),
+    }
+}
+
+fn checker() -> Checker {
+    let mut checker = Checker::new(LIMIT);
+    checker.allow(flow().destination, "portal");
+    checker
+}
+
+fn arrival(opening: bool) -> Arrival<'static> {
+    Arrival {
+        flow: flow(),
+        opening,
+        server: "s1",
+        service: "portal",
+        holds: false,
+        held_elsewhere: true,
+        drained: None,
+    }
+}
+
+fn second(second: u64) -> Duration {
+    Duration::from_secs(second)
+}
+
+#[test]
+fn other_service() {
+    let mut checker = checker();
+    assert_eq!(checker.arrival(&arrival(true), second(1)), None);
+    let wrong = Arrival {
+        service: "statements",
+        ..arrival(true)
+    };
+    let broken = checker.arrival(&wrong, second(1));
+    assert!(matches!(broken, Some(Broken::OtherService { .. })));
+}
+
+#[test]
+fn drained_server() {
+    let mut checker = checker();
+    let draining = Arrival {
+        drained: Some(second(10)),
+        ..arrival(true)
+    };
+    assert_eq!(checker.arrival(&draining, second(13)), None);
+    let broken = checker.arrival(&draining, second(14));
+    assert!(matches!(broken, Some(Broken::Drained { .. })));
+}
+
+#[test]
+fn flow_astray() {
+    let mut checker = checker();
+    for at in [1, 2, 3] {
+        assert_eq!(checker.arrival(&arrival(false), second(at)), None);
+    }
+    let broken = checker.arrival(&arrival(false), second(4));
+    assert_eq!(broken, Some(Broken::Astray(flow())));
+    // A packet that reaches the flow's server ends the count.
+    let own = Arrival {
+        holds: true,
+        ..arrival(false)
+    };
+    for at in [5, 6, 7, 8, 9] {
+        assert_eq!(checker.arrival(&arrival(false), second(at)), None);
+        assert_eq!(checker.arrival(&own, second(at)), None);
+    }
+}
+
+#[test]
+fn request_twice() {
+    let mut checker = checker();
+    assert_eq!(checker.runs(1, false), None);
+    assert_eq!(checker.runs(1, false), Some(Broken::RanTwice(1)));
+    assert_eq!(checker.runs(2, true), None);
+    assert_eq!(checker.runs(2, true), None);
+}
+
+#[test]
+fn refused_and_run() {
+    let mut checker = checker();
+    assert_eq!(checker.ended(1, Outcome::Refused), None);
+    assert_eq!(checker.runs(1, false), Some(Broken::RefusedAndRan(1)));
+    assert_eq!(checker.runs(2, false), None);
+    let broken = checker.ended(2, Outcome::Refused);
+    assert_eq!(broken, Some(Broken::RefusedAndRan(2)));
+    assert_eq!(checker.runs(3, false), None);
+    assert_eq!(checker.ended(3, Outcome::Failed), None);
+}
+
+// Guards against a model that runs a request again for each copy that arrives while it runs.
+#[test]
+fn copies_while_running() {
+    use flamingofall_emulator::packet::{Action, Packet};
+    use flamingofall_emulator::server::{Effect, Server};
+
+    let limits = (1, 4, Duration::from_millis(30));
+    let mut server = Server::new("s1".into(), "portal".into(), 1, limits);
+    let packet = |action, acknowledgement, request| Packet {
+        client: flow().source,
+        address: flow().destination,
+        action,
+        sequence: 1,
+        acknowledgement,
+        request,
+    };
+    let accepted = server.packet(packet(Action::Open, 0, None));
+    let Some(Effect::Send(accept)) = accepted.first() else {
+        panic!("{accepted:?}");
+    };
+    let request = packet(Action::Data, accept.sequence + 1, Some(7));
+    let works = |effects: &[Effect]| effects.iter().any(|e| matches!(e, Effect::Work(..)));
+    assert!(works(&server.packet(request.clone())));
+    assert!(!works(&server.packet(request.clone())));
+    let answers = server.worked(&request);
+    assert!(
+        matches!(answers.as_slice(), [Effect::Send(_)]),
+        "{answers:?}"
+    );
+    assert_eq!(server.packet(request), answers);
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,88 @@
+//! Plays plans of faults with the platform's programs.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::{ensure, Result};
+use argh::FromArgs;
+use flamingofall::logging;
+use flamingofall_soak::plan::{Plan, Size};
+use flamingofall_soak::run::{self, Options};
+
+/// Runs the platform's programs on loopback and injects faults from outside.
+#[derive(FromArgs)]
+struct Arguments {
+    /// first seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// number of runs, each with the next seed (default 1)
+    #[argh(option, default = "1")]
+    runs: u64,
+
+    /// seconds in which faults begin (default 20)
+    #[argh(option, default = "20")]
+    length: u64,
+
+    /// balancers (default 4)
+    #[argh(option, default = "Size::default().balancers")]
+    balancers: usize,
+
+    /// agents, each with a server (default 9)
+    #[argh(option, default = "Size::default().agents")]
+    agents: usize,
+
+    /// clients (default 40)
+    #[argh(option, default = "Size::default().clients")]
+    clients: usize,
+
+    /// the platform's program
+    #[argh(
+        option,
+        default = "PathBuf::from(\"target/release/flamingofall-platform\")"
+    )]
+    program: PathBuf,
+
+    /// where settings and logs of failed runs stay (default target/soak)
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    directory: PathBuf,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let arguments: Arguments = argh::from_env();
+    logging::init_with("flamingofall_soak=info");
+    ensure!(
+        arguments.program.exists(),
+        "{} doesn't exist; build it with: cargo build --release -p flamingofall-platform",
+        arguments.program.display()
+    );
+    let size = Size {
+        balancers: arguments.balancers,
+        agents: arguments.agents,
+        clients: arguments.clients,
+    };
+    size.check()?;
+    let mut failed = 0;
+    for seed in arguments.seed..arguments.seed + arguments.runs {
+        let plan = Plan::random(seed, size, Duration::from_secs(arguments.length));
+        let directory = arguments.directory.join(format!("seed-{seed}"));
+        let options = Options {
+            program: arguments.program.clone(),
+            directory: directory.clone(),
+            site: run::free_site(16 + (seed % 200) as u8)?,
+        };
+        let report = run::run(plan, options).await?;
+        println!("seed={seed} {report}");
+        for what in &report.broken {
+            println!("seed={seed} broken: {what}");
+        }
+        if run::judge(&report).is_ok() {
+            std::fs::remove_dir_all(&directory)?;
+        } else {
+            failed += 1;
+        }
+    }
+    ensure!(failed == 0, "{failed} of {} runs failed", arguments.runs);
+    Ok(())
+}
--- /dev/null
+++ b/soak/src/packet.rs
@@ -0,0 +1,154 @@
+//! The platform's packets, as clients and servers write them.
+
+use std::hash::Hasher;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use flamingofall_emulator::packet::{Action, Packet};
+use siphasher::sip::SipHasher13;
+
+/// Bytes of the header.
+pub const HEADER_BYTES: usize = 34;
+/// Bytes of a request's or an answer's id.
+const ID_BYTES: usize = 8;
+
+const SYN: u8 = 1;
+const RST: u8 = 2;
+const FIN: u8 = 8;
+const ACK: u8 = 32;
+const RETURNED: u8 = 128;
+const FLAGS: usize = 30;
+const TOKEN: std::ops::Range<usize> = 6..10;
+const SUM: std::ops::Range<usize> = 2..6;
+/// Key of the checksum, which the product doesn't know.
+const KEY: (u64, u64) = (0x5eed, 0x50a4);
+
+/// Who wrote a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// A client.
+    Client,
+    /// A server.
+    Server,
+}
+
+/// What a datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// A packet as its sender wrote it.
+    Genuine(Packet),
+    /// A reset by the product, which has no checksum.
+    Reset(Packet),
+    /// Something that no sender wrote.
+    Forged,
+}
+
+/// Writes a packet.
+pub fn encode(packet: &Packet, sender: Sender) -> Vec<u8> {
+    let (source, destination) = match sender {
+        Sender::Client => (packet.client, packet.address),
+        Sender::Server => (packet.address, packet.client),
+    };
+    let flags = match packet.action {
+        Action::Open => SYN,
+        Action::Accept => SYN | ACK,
+        Action::Data => ACK,
+        Action::Finish => FIN | ACK,
+        Action::Reset => RST,
+    };
+    let id = packet.request.map(u64::to_le_bytes);
+    let length = if id.is_some() { ID_BYTES as u16 } else { 0 };
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + ID_BYTES);
+    bytes.extend(length.to_le_bytes());
+    bytes.extend([0; 8]);
+    bytes.extend(packet.sequence.to_le_bytes());
+    bytes.extend(packet.acknowledgement.to_le_bytes());
+    bytes.extend(destination.port().to_le_bytes());
+    bytes.extend(ip(source).to_le_bytes());
+    bytes.extend(source.port().to_le_bytes());
+    bytes.extend(ip(destination).to_le_bytes());
+    bytes.extend([flags, 0, 0, 0]);
+    bytes.extend(id.into_iter().flatten());
+    let sum = checksum(&bytes).to_le_bytes();
+    bytes[SUM].copy_from_slice(&sum);
+    bytes
+}
+
+/// Reads a datagram.
+pub fn decode(bytes: &[u8], sender: Sender) -> Content {
+    let id = match bytes.len().checked_sub(HEADER_BYTES) {
+        Some(0) => None,
+        Some(ID_BYTES) => Some(u64_at(bytes, HEADER_BYTES)),
+        _ => return Content::Forged,
+    };
+    let source = address(u32_at(bytes, 20), u16_at(bytes, 24));
+    let destination = address(u32_at(bytes, 26), u16_at(bytes, 18));
+    let (client, address) = match sender {
+        Sender::Client => (source, destination),
+        Sender::Server => (destination, source),
+    };
+    let flags = bytes[FLAGS];
+    let action = match flags & !RETURNED {
+        SYN => Action::Open,
+        flags if flags == SYN | ACK => Action::Accept,
+        ACK => Action::Data,
+        flags if flags == FIN | ACK => Action::Finish,
+        RST => Action::Reset,
+        _ => return Content::Forged,
+    };
+    let packet = Packet {
+        client,
+        address,
+        action,
+        sequence: u32_at(bytes, 10),
+        acknowledgement: u32_at(bytes, 14),
+        request: id,
+    };
+    let sum = u32_at(bytes, SUM.start);
+    if sum == checksum(bytes) {
+        return Content::Genuine(packet);
+    }
+    match (action, sum, sender) {
+        (Action::Reset, 0, Sender::Server) if id.is_none() => Content::Reset(packet),
+        _ => Content::Forged,
+    }
+}
+
+/// Marks a packet as returned by its server; the token stays.
+pub fn mark_returned(bytes: &mut [u8]) {
+    bytes[FLAGS] |= RETURNED;
+    bytes[FLAGS + 1..HEADER_BYTES].fill(0);
+}
+
+/// A sum over everything but the token, the padding and the mark of a returned packet.
+fn checksum(bytes: &[u8]) -> u32 {
+    let mut hasher = SipHasher13::new_with_keys(KEY.0, KEY.1);
+    hasher.write(&bytes[..SUM.start]);
+    hasher.write(&bytes[TOKEN.end..FLAGS]);
+    hasher.write_u8(bytes[FLAGS] & !RETURNED);
+    hasher.write(&bytes[HEADER_BYTES..]);
+    // 0 marks a reset by the product.
+    (hasher.finish() as u32).max(1)
+}
+
+fn ip(address: SocketAddr) -> u32 {
+    match address {
+        SocketAddr::V4(v4) => u32::from(*v4.ip()),
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+fn address(ip: u32, port: u16) -> SocketAddr {
+    SocketAddrV4::new(Ipv4Addr::from(ip), port).into()
+}
+
+fn u16_at(bytes: &[u8], at: usize) -> u16 {
+    u16::from_le_bytes([bytes[at], bytes[at + 1]])
+}
+
+fn u32_at(bytes: &[u8], at: usize) -> u32 {
+    u32::from(u16_at(bytes, at)) | u32::from(u16_at(bytes, at + 2)) << 16
+}
+
+fn u64_at(bytes: &[u8], at: usize) -> u64 {
+    u64::from(u32_at(bytes, at)) | u64::from(u32_at(bytes, at + 4)) << 32
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -24,7 +24,13 @@
 /// Starts logging to standard error at level `info`, unless the variable `FLAMINGOFALL_LOG` says
 /// otherwise.
 pub fn init() {
-    builder("flamingofall=info").init();
+    init_with("flamingofall=info");
+}
+
+/// Starts logging to standard error with `filter`, unless the variable `FLAMINGOFALL_LOG` says
+/// otherwise.
+pub fn init_with(filter: &str) {
+    builder(filter).init();
 }
 
 /// Starts logging to standard output through a bounded queue, so that a reader that stalls never
