Choose the server whose acceptance the client has answered already

Cause: the new search over orders of messages (emulator/tests/schedules.rs, one flow, two balancers, two agents, the cores themselves) found with four deviations that a balancer resets a flow which a server holds: the client's answer to the first server arrives before both servers' acceptances, the balancer takes the other one, and resets the flow when that one leaves. Change: an acceptance that the last acknowledgement of the client answers is chosen at once. Cases: early_answer (failed before), orders_of_messages.

--- /dev/null
+++ b/emulator/tests/schedules.rs
@@ -0,0 +1,432 @@
+//! Every order of messages, up to a bound, around the opening of one flow at two agents.
+//!
+//! Messages are delivered in the order in which they were sent, and timers run when no message is
+//! on its way, but for [`DELAYS`] deviations: a message is overtaken by all others, or the next
+//! timer runs early. All choices of these deviations are played.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use flamingofall::id::{Generation, Incarnation};
+use flamingofall::packet::{Flow, Protocol};
+use flamingofall::steering::agent::{self, Agent};
+use flamingofall::steering::balancer::{self, Balancer};
+use flamingofall::steering::message::Message;
+use flamingofall::steering::routes::{Repeat, Route, Routes, Target};
+use flamingofall_emulator::packet::{decode, Action, Packet};
+use flamingofall_emulator::server::{Effect, Server};
+
+/// Deviations from the usual order in one schedule, unless the variable `DELAYS` names more.
+const DELAYS: usize = 3;
+/// More steps than a schedule needs: guards against messages that go round for ever.
+const STEPS_MAX: usize = 400;
+const SERVICE: &str = "portal";
+const WORK: Duration = Duration::from_millis(30);
+
+/// Something on its way.
+#[derive(Clone, Debug)]
+enum Item {
+    Balancer(usize, SocketAddr, Message),
+    Agent(usize, SocketAddr, Message),
+    Server(usize, u32, Packet),
+    Returned(usize, u32, Packet),
+    Outbound(usize, Packet),
+    Client(Packet),
+    Worked(usize, Packet),
+}
+
+/// What happens when no message is on its way, in this order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Timer {
+    /// The first balancer gives the opening packet to another agent.
+    Hedge,
+    /// The client repeats what has no answer.
+    Copy,
+    /// A server that doesn't hold the flow leaves.
+    Leave,
+    /// The fabric sends the flow's next request to the second balancer.
+    Move,
+    /// The client repeats what has no answer.
+    CopyAgain,
+}
+
+const TIMERS: [Timer; 5] = [
+    Timer::Hedge,
+    Timer::Copy,
+    Timer::Leave,
+    Timer::Move,
+    Timer::CopyAgain,
+];
+
+fn balancer_at(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 7720))
+}
+
+fn agent_at(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, index as u8 + 1], 8172))
+}
+
+fn flow() -> Flow {
+    Flow {
+        protocol: Protocol::Tcp,
+        source: SocketAddr::from(([100, 64, 0, 1], 1025)),
+        destination: SocketAddr::from(([198, 18, 0, 1], 443)),
+    }
+}
+
+struct World {
+    now: Instant,
+    balancers: Vec<Balancer>,
+    agents: Vec<Agent>,
+    servers: Vec<Option<Server>>,
+    items: VecDeque<Item>,
+    timers: VecDeque<Timer>,
+    /// Balancer that gets the client's packets.
+    route: usize,
+    /// Sequence number of the acceptance that the client took.
+    open: Option<u32>,
+    request: Option<u64>,
+    answers: Vec<u64>,
+    ran: Vec<u64>,
+    reset: bool,
+    broken: Option<String>,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::now();
+        let routes = Routes {
+            generation: Generation(1),
+            version: 1,
+            routes: vec![Route {
+                name: "route".into(),
+                address: flow().destination,
+                targets: vec![Target {
+                    service: SERVICE.into(),
+                    weight: 1,
+                }],
+                repeat: Repeat::AtMostOnce,
+                objective: Duration::from_millis(200),
+                priority: 1,
+            }],
+            idle_timeout: Duration::from_secs(15),
+        };
+        let period = Duration::from_millis(770);
+        let agents = (0..2).map(|index| {
+            let at = agent_at(index);
+            let mut agent = Agent::new(at, SERVICE.into(), Incarnation(1), period, now);
+            (0..2).for_each(|balancer| agent.meet(balancer_at(balancer), now));
+            agent
+        });
+        let mut world = Self {
+            now,
+            balancers: (0..2).map(|i| Balancer::new(balancer_at(i), now)).collect(),
+            agents: agents.collect(),
+            servers: Vec::new(),
+            items: VecDeque::new(),
+            timers: TIMERS.into(),
+            route: 0,
+            open: None,
+            request: Some(1),
+            answers: Vec::new(),
+            ran: Vec::new(),
+            reset: false,
+            broken: None,
+        };
+        for balancer in &mut world.balancers {
+            balancer.configure(routes.clone(), "test", &mut Vec::new());
+        }
+        for index in 0..2 {
+            let name = format!("server-{index}");
+            let mut server = Server::new(name, SERVICE.into(), 1, (4, 16, WORK));
+            let mut out = Vec::new();
+            world.agents[index].heartbeat(server.heartbeat(), now, &mut out);
+            world.servers.push(Some(server));
+            world.agent_did(index, out);
+        }
+        // All processes know each other before the flow begins.
+        while let Some(item) = world.items.pop_front() {
+            world.deliver(item);
+        }
+        for balancer in &mut world.balancers {
+            balancer.directory(Vec::new(), Vec::new(), now, &mut Vec::new());
+        }
+        world
+    }
+
+    /// Plays the choices given, then the usual order. Returns the number of choices at each step.
+    fn play(mut self, choices: &[usize], mut delays: usize) -> (Vec<usize>, Self) {
+        let mut options = Vec::new();
+        self.send(Action::Open, 0);
+        for step in 0..STEPS_MAX {
+            if self.items.is_empty() && self.timers.is_empty() || self.broken.is_some() {
+                self.judge();
+                return (options, self);
+            }
+            // 0: the usual order; 1: the next timer early; 2: the next message is overtaken.
+            let early = delays > 0 && !self.items.is_empty() && !self.timers.is_empty();
+            let overtaken = delays > 0 && self.items.len() > 1;
+            options.push(1 + usize::from(early) + usize::from(overtaken));
+            match choices.get(step).copied().unwrap_or(0) {
+                0 => match self.items.pop_front() {
+                    Some(item) => self.deliver(item),
+                    None => self.run_timer(),
+                },
+                1 if early => {
+                    delays -= 1;
+                    self.run_timer();
+                }
+                _ => {
+                    delays -= 1;
+                    self.items.rotate_left(1);
+                }
+            }
+        }
+        self.broken = Some("messages go round".into());
+        (options, self)
+    }
+
+    fn holder(&self) -> Option<usize> {
+        let holds = |server: &Option<Server>| server.as_ref().is_some_and(|s| s.holds(&flow()));
+        self.servers.iter().position(holds)
+    }
+
+    fn send(&mut self, action: Action, acknowledgement: u32) {
+        let packet = Packet {
+            client: flow().source,
+            address: flow().destination,
+            action,
+            sequence: 1,
+            acknowledgement,
+            request: self.request.filter(|_| action == Action::Data),
+        };
+        let mut out = Vec::new();
+        let balancer = &mut self.balancers[self.route];
+        balancer.packet(packet.segment(), packet.encode(), self.now, &mut out);
+        self.balancer_did(self.route, out);
+    }
+
+    fn repeat(&mut self) {
+        match (self.open, self.request) {
+            (_, None) => {}
+            _ if self.reset => {}
+            (None, _) => self.send(Action::Open, 1),
+            (Some(sequence), _) => self.send(Action::Data, sequence.wrapping_add(1)),
+        }
+    }
+
+    fn run_timer(&mut self) {
+        let Some(timer) = self.timers.pop_front() else {
+            return;
+        };
+        self.now += Duration::from_millis(70);
+        for index in 0..self.balancers.len() {
+            let mut out = Vec::new();
+            self.balancers[index].tick(self.now, &mut out);
+            // Digests and the like don't matter here.
+            out.retain(|output| {
+                matches!(output, balancer::Output::Send(_, Message::Forward(_)))
+                    || matches!(output, balancer::Output::Reset { .. })
+            });
+            self.balancer_did(index, out);
+        }
+        match timer {
+            Timer::Hedge => {}
+            Timer::Copy | Timer::CopyAgain => self.repeat(),
+            Timer::Leave => {
+                let holder = self.holder();
+                let free = (0..self.servers.len()).find(|index| Some(*index) != holder);
+                // The server that the client is about to use drains first.
+                if let (Some(index), Some(_)) = (free, holder) {
+                    let server = self.servers[index].take();
+                    let name = server.map(|server| server.name).unwrap_or_default();
+                    let mut out = Vec::new();
+                    self.agents[index].left(&name, self.now, &mut out);
+                    self.agent_did(index, out);
+                }
+            }
+            Timer::Move => {
+                self.route = 1;
+                if self.open.is_some() && self.request.is_none() {
+                    self.request = Some(2);
+                    self.repeat();
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, item: Item) {
+        let now = self.now;
+        match item {
+            Item::Balancer(index, from, message) => {
+                let mut out = Vec::new();
+                self.balancers[index].message(from, message, decode, now, &mut out);
+                self.balancer_did(index, out);
+            }
+            Item::Agent(index, from, message) => {
+                let mut out = Vec::new();
+                self.agents[index].message(from, message, decode, now, &mut out);
+                self.agent_did(index, out);
+            }
+            Item::Server(index, token, packet) => {
+                if let Some(server) = &mut self.servers[index] {
+                    let effects = server.packet(packet);
+                    self.server_did(index, token, effects);
+                }
+            }
+            Item::Returned(index, token, packet) => {
+                let mut out = Vec::new();
+                let bytes = packet.encode();
+                self.agents[index].returned(packet.segment(), token, bytes, &mut out);
+                self.agent_did(index, out);
+            }
+            Item::Outbound(index, packet) => {
+                let mut out = Vec::new();
+                let bytes = packet.encode();
+                self.agents[index].outbound(packet.segment(), bytes, now, &mut out);
+                self.agent_did(index, out);
+            }
+            Item::Worked(index, packet) => {
+                if let Some(server) = &mut self.servers[index] {
+                    let effects = server.worked(&packet);
+                    self.server_did(index, 0, effects);
+                }
+            }
+            Item::Client(packet) => self.client(&packet),
+        }
+    }
+
+    fn client(&mut self, packet: &Packet) {
+        match packet.action {
+            Action::Accept if self.open.is_none() && !self.reset => {
+                self.open = Some(packet.sequence);
+                self.repeat();
+            }
+            Action::Data => {
+                if self.request.is_some() && packet.request == self.request {
+                    self.answers.extend(self.request.take());
+                }
+            }
+            Action::Reset => self.reset = true,
+            _ => {}
+        }
+    }
+
+    fn server_did(&mut self, index: usize, token: u32, effects: Vec<Effect>) {
+        for effect in effects {
+            let item = match effect {
+                Effect::Send(packet) => Item::Outbound(index, packet),
+                Effect::Return(packet) => Item::Returned(index, token, packet),
+                Effect::Work(packet, _) => {
+                    let id = packet.request.unwrap_or_default();
+                    if self.ran.contains(&id) {
+                        self.broken = Some(format!("request {id} ran twice"));
+                    }
+                    self.ran.push(id);
+                    Item::Worked(index, packet)
+                }
+            };
+            self.items.push_back(item);
+        }
+    }
+
+    fn balancer_did(&mut self, index: usize, out: Vec<balancer::Output>) {
+        for output in out {
+            match output {
+                balancer::Output::Send(to, message) => self.pass(balancer_at(index), to, message),
+                balancer::Output::Reset { .. } => self.resets("a balancer"),
+                _ => {}
+            }
+        }
+    }
+
+    fn agent_did(&mut self, index: usize, out: Vec<agent::Output>) {
+        for output in out {
+            match output {
+                agent::Output::Send(to, message) => self.pass(agent_at(index), to, message),
+                agent::Output::Reset { .. } => self.resets("an agent"),
+                agent::Output::Deliver { token, packet } => {
+                    let packet = Packet::decode(&packet).expect("the packet is unchanged");
+                    self.items.push_back(Item::Server(index, token, packet));
+                }
+                agent::Output::Client(_, packet) => {
+                    let packet = Packet::decode(&packet).expect("the packet is unchanged");
+                    self.items.push_back(Item::Client(packet));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, from: SocketAddr, to: SocketAddr, message: Message) {
+        let index = |at: fn(usize) -> SocketAddr| (0..2).find(|index| at(*index) == to);
+        let item = match (index(balancer_at), index(agent_at)) {
+            (Some(index), _) => Item::Balancer(index, from, message),
+            (_, Some(index)) => Item::Agent(index, from, message),
+            _ => return,
+        };
+        self.items.push_back(item);
+    }
+
+    fn resets(&mut self, by: &str) {
+        self.reset = true;
+        if let Some(holder) = self.holder() {
+            self.broken = Some(format!("{by} reset the flow that server {holder} holds"));
+        }
+    }
+
+    /// A client whose flow is open and was not reset has its answers.
+    fn judge(&mut self) {
+        let waits = self.open.is_some() && !self.reset && self.request.is_some();
+        if self.broken.is_none() && waits && self.holder().is_some() {
+            self.broken = Some(format!("request {:?} has no answer", self.request));
+        }
+    }
+}
+
+/// The next choices in the order of a depth-first search.
+fn next(mut choices: Vec<usize>, options: &[usize]) -> Option<Vec<usize>> {
+    choices.resize(options.len(), 0);
+    while let Some(last) = choices.pop() {
+        if last + 1 < options[choices.len()] {
+            choices.push(last + 1);
+            return Some(choices);
+        }
+    }
+    None
+}
+
+// Guards against orders of messages in which an open flow is reset or loses its server, or in which
+// a request runs twice.
+#[test]
+fn orders_of_messages() {
+    let delays = std::env::var("DELAYS").ok();
+    let delays = delays.and_then(|text| text.parse().ok()).unwrap_or(DELAYS);
+    let mut choices = Vec::new();
+    let mut count = 0;
+    let mut served = 0;
+    loop {
+        let (options, world) = World::new().play(&choices, delays);
+        count += 1;
+        served += usize::from(world.answers == [1, 2]);
+        assert_eq!(world.broken, None, "schedule {choices:?}");
+        match next(choices, &options) {
+            Some(following) => choices = following,
+            None => break,
+        }
+    }
+    println!("{count} schedules, {served} with both answers");
+    assert!(count > 1000 && served * 2 > count, "{count}, {served}");
+}
+
+// Guards against a balancer that forgets which server the client has chosen if the client's answer
+// arrives before the servers' acceptances: the flow was reset with the end of the other server.
+#[test]
+fn early_answer() {
+    let choices = [
+        1, 0, 0, 0, 0, 0, 0, 1, 2, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1,
+    ];
+    let (_, world) = World::new().play(&choices, 4);
+    assert_eq!(world.broken, None);
+}
--- a/src/steering/balancer/search.rs
+++ b/src/steering/balancer/search.rs
@@ -107,6 +107,8 @@
             agent: owner.agent,
             process: owner.process,
         });
+        // The client's answer may have arrived before.
+        known.choose(known.acknowledged);
     }
 
     /// No candidate took the packet.
