--- a/emulator/tests/schedules.rs
+++ b/emulator/tests/schedules.rs
@@ -303,10 +303,8 @@
                 self.open = Some(packet.sequence);
                 self.repeat();
             }
-            Action::Data => {
-                if self.request.is_some() && packet.request == self.request {
-                    self.answers.extend(self.request.take());
-                }
+            Action::Data if self.request.is_some() && packet.request == self.request => {
+                self.answers.extend(self.request.take());
             }
             Action::Reset => self.reset = true,
             _ => {}
