Count packets that come at once as one search

Change: packets within 100 ms belong to one search and take the same way. Test: steering second_search_reversed.

--- a/emulator/src/report.rs
+++ b/emulator/src/report.rs
@@ -83,12 +83,14 @@
         }
     }
 
-    /// Records a request's outcome.
-    pub fn ended(&mut self, second: usize, served: bool) {
+    /// Records the end of a request that was asked in this second; `latency` if it was served.
+    pub fn ended(&mut self, second: usize, latency: Option<Duration>) {
         if self.seconds.len() <= second {
             self.seconds.resize(second + 1, (0, 0));
         }
-        if served {
+        if let Some(latency) = latency {
+            self.latency
+                .saturating_record((latency.as_micros() as u64).max(1));
             self.served += 1;
             self.seconds[second].0 += 1;
         } else {
--- a/emulator/src/world/clients.rs
+++ b/emulator/src/world/clients.rs
@@ -94,15 +94,12 @@
         if let (Some(outcome), Some(Request { id, asked, .. })) = (outcome, request) {
             let lead = Duration::from_secs_f64(LEAD_S);
             let second = asked.saturating_sub(lead).as_secs() as usize;
-            self.report.ended(second, outcome == Outcome::Served);
-            let ran = self.checker.ended(id, outcome);
-            if let Some(broken) = ran {
+            let served = outcome == Outcome::Served;
+            self.report
+                .ended(second, served.then_some(self.now - asked));
+            if let Some(broken) = self.checker.ended(id, outcome) {
                 self.report.broke(self.now, &broken);
             }
-            if outcome == Outcome::Served {
-                let latency = (self.now - asked).as_micros() as u64;
-                self.report.latency.saturating_record(latency.max(1));
-            }
             let pause = self.pause();
             self.after(pause, Event::Ask(index));
         } else if active {
--- /dev/null
+++ b/soak/src/run/clients.rs
@@ -0,0 +1,109 @@
+//! Clients, and what they see.
+
+use flamingofall_emulator::check::Broken;
+use flamingofall_emulator::client::{Outcome, Request};
+use flamingofall_emulator::packet::{Action, Packet};
+
+use crate::fabric::send;
+use crate::packet::{self, Content, Sender};
+use crate::site::{Group, PACKETS};
+
+use super::{Timer, World, LEAD};
+
+impl World {
+    pub(super) fn ask(&mut self, index: usize) {
+        self.next_id += 1;
+        self.report.asked += 1;
+        let (id, now) = (self.next_id, self.now());
+        let packets = self.callers[index].client.ask(id, now);
+        self.send_client(index, packets);
+        self.rearm(index);
+    }
+
+    pub(super) fn rearm(&mut self, index: usize) {
+        if let Some(due) = self.callers[index].client.due() {
+            let wait = due.saturating_sub(self.now());
+            self.after(wait, Timer::Client(index));
+        }
+    }
+
+    pub(super) fn send_client(&mut self, index: usize, packets: Vec<Packet>) {
+        let now = self.now();
+        let misses: Vec<u32> = self.balancers.iter().map(|host| host.misses).collect();
+        for packet in packets {
+            let flow = packet.flow();
+            if packet.action == Action::Open {
+                self.fabric.opened.insert(flow, now);
+            }
+            if self.fabric.loses(now, &mut self.random) {
+                continue;
+            }
+            let balancer = self.fabric.choose(&flow, &misses);
+            let to = self.site.at(Group::Balancer, balancer, PACKETS);
+            let bytes = packet::encode(&packet, Sender::Client);
+            send(&self.callers[index].socket, &bytes, to);
+        }
+    }
+
+    pub(super) fn client_timer(&mut self, index: usize) {
+        let now = self.now();
+        let client = &mut self.callers[index].client;
+        let request = client.request;
+        let (packets, outcome) = client.timer(now);
+        self.client_did(index, request, packets, outcome);
+    }
+
+    pub(super) fn client_receives(&mut self, index: usize, bytes: &[u8]) {
+        let packet = match packet::decode(bytes, Sender::Server) {
+            Content::Genuine(packet) => packet,
+            Content::Reset(packet) => {
+                self.judge_reset(&packet);
+                packet
+            }
+            Content::Forged => return self.broke(&Broken::Forged("a client".into())),
+        };
+        let now = self.now();
+        let client = &mut self.callers[index].client;
+        let request = client.request;
+        let (packets, outcome) = client.packet_in(&packet, now);
+        self.client_did(index, request, packets, outcome);
+    }
+
+    /// A reset that no server wrote must not hit a flow that one holds.
+    pub(super) fn judge_reset(&mut self, packet: &Packet) {
+        let flow = packet.flow();
+        let servers = self.agents.iter().filter_map(|host| host.server.as_ref());
+        let holder = servers
+            .filter(|server| server.holds(&flow))
+            .map(|server| server.name.clone())
+            .next();
+        if let Some(server) = holder {
+            let by = "the system".to_owned();
+            self.broke(&Broken::Reset { by, flow, server });
+        }
+    }
+
+    pub(super) fn client_did(
+        &mut self,
+        index: usize,
+        request: Option<Request>,
+        packets: Vec<Packet>,
+        outcome: Option<Outcome>,
+    ) {
+        let active = !packets.is_empty() || outcome.is_some();
+        self.send_client(index, packets);
+        if let (Some(outcome), Some(Request { id, asked, .. })) = (outcome, request) {
+            if let Some(broken) = self.checker.ended(id, outcome) {
+                self.broke(&broken);
+            }
+            let served = outcome == Outcome::Served;
+            let second = asked.saturating_sub(LEAD).as_secs() as usize;
+            let latency = served.then(|| self.now() - asked);
+            self.report.ended(second, latency);
+            let pause = self.pause();
+            self.after(pause, Timer::Ask(index));
+        } else if active {
+            self.rearm(index);
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/run/faults.rs
@@ -0,0 +1,206 @@
+//! The operator, and what fails.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use hyper::{Method, StatusCode};
+use nix::sys::signal::Signal;
+use rand::Rng;
+use serde_json::json;
+
+use crate::host::call;
+use crate::plan::{Fault, Step};
+use crate::process::GRACE;
+use crate::proxy::Harm;
+use crate::site::{Group, Role, READINESS};
+use crate::store::Mode;
+
+use super::{
+    write, Event, Timer, Version, World, ADDRESSES, DRAIN, DRAIN_LIMIT, MOVING, READINESS_EVERY,
+    SERVICES,
+};
+
+impl World {
+    pub(super) fn check_readiness(&mut self) {
+        for index in 0..self.balancers.len() {
+            let to = self.site.at(Group::Balancer, index, READINESS);
+            let events = self.events.clone();
+            tokio::spawn(async move {
+                let path = "/flamingofall/readiness";
+                let status = call(to, Method::GET, path, Vec::new()).await;
+                let ready = status.is_ok_and(|status| status == StatusCode::OK);
+                // The run has ended if nobody listens any more.
+                let _ = events.send(Event::Readiness(index, ready));
+            });
+        }
+        self.after(READINESS_EVERY, Timer::Readiness);
+    }
+
+    pub(super) fn configure(&mut self) {
+        let version = self.versions.len();
+        let moving_to = version % SERVICES.len();
+        let routes: Vec<_> = ADDRESSES
+            .iter()
+            .enumerate()
+            .map(|(index, address)| {
+                let service = SERVICES[if index == MOVING { moving_to } else { index }];
+                let (ip, port) = address.split_once(':').unwrap_or((address, ""));
+                if let Ok(address) = address.parse() {
+                    self.checker.allow(address, service);
+                }
+                json!({
+                    "name": format!("route-{index}"), "hostname": ip,
+                    "path_prefix": format!("/{port}/"), "type": "non_idempotent",
+                    "service": service, "timeout_ms": 2000, "target_latency_ms": 200,
+                })
+            })
+            .collect();
+        let spec = json!({
+            "version": 10 + 7 * version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": 15_000},
+        });
+        self.store.put("config", "main", spec);
+        let acknowledged = self.now();
+        self.versions.push(Version {
+            acknowledged,
+            moving_to,
+        });
+    }
+
+    /// Some hosts out of `of`.
+    pub(super) fn some(&mut self, count: usize, of: usize) -> Vec<usize> {
+        let mut all = rand::seq::index::sample(&mut self.random, of, count.min(of)).into_vec();
+        all.sort_unstable();
+        all
+    }
+
+    pub(super) fn inject(&mut self, step: &Step) -> Result<()> {
+        let now = Instant::now();
+        let lasts = step.lasts;
+        let balancers = self.some(step.count, self.balancers.len());
+        let agents = self.some(step.count, self.agents.len());
+        self.disturbed = self.disturbed.max(self.now() + lasts);
+        match step.fault {
+            Fault::KillBalancers => {
+                for index in balancers {
+                    self.balancers[index].process.kill(lasts, now)?;
+                }
+            }
+            Fault::FreezeBalancers => {
+                for index in balancers {
+                    self.balancers[index].process.freeze(lasts, now)?;
+                }
+            }
+            Fault::StopBalancers => {
+                self.disturbed = self.disturbed.max(self.now() + GRACE);
+                for index in balancers {
+                    self.balancers[index].process.stop(Duration::ZERO, now)?;
+                }
+            }
+            Fault::KillAgents => {
+                for index in agents {
+                    self.agents[index].process.kill(lasts, now)?;
+                }
+            }
+            Fault::FreezeAgents => {
+                for index in agents {
+                    self.agents[index].process.freeze(lasts, now)?;
+                }
+            }
+            Fault::StopAgents => {
+                for index in agents {
+                    self.agents[index].process.stop(Duration::ZERO, now)?;
+                }
+            }
+            Fault::CrashServers => {
+                for index in agents {
+                    self.crash_server(index, lasts);
+                }
+            }
+            Fault::ReplaceServers => {
+                let gone = DRAIN + GRACE + DRAIN_LIMIT;
+                self.disturbed = self.disturbed.max(self.now() + gone);
+                for index in agents {
+                    self.drain(index);
+                }
+            }
+            Fault::PowerOff => {
+                for host in &mut self.balancers {
+                    host.process.kill(lasts, now)?;
+                }
+                for index in 0..self.agents.len() {
+                    self.agents[index].process.kill(lasts, now)?;
+                    self.crash_server(index, lasts);
+                }
+            }
+            Fault::Store(mode) => {
+                self.store.set_mode(mode);
+                self.after(lasts, Timer::Heal(step.fault, Vec::new()));
+            }
+            Fault::Forget => self.store.forget(),
+            Fault::Connections(harm) => {
+                for index in &balancers {
+                    self.balancers[*index].proxy.set(harm);
+                }
+                for index in &agents {
+                    self.agents[*index].proxy.set(harm);
+                }
+                let hosts = balancers.into_iter().chain(agents).collect();
+                self.after(lasts, Timer::Heal(step.fault, hosts));
+            }
+            Fault::Loss => self.fabric.lossy = Some(self.now() + lasts),
+            Fault::Configure => self.configure(),
+            Fault::Reload => {
+                let seeds = balancers;
+                for index in agents {
+                    let service = self.agents[index].service.clone();
+                    let text = self.site.settings(Role::Agent(&service), index, &seeds);
+                    let file = format!("agent-{index}.toml");
+                    write(&self.options.directory.join(file), &text)?;
+                    self.agents[index].process.signal(Signal::SIGHUP)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn heal(&mut self, fault: Fault, hosts: &[usize]) {
+        match fault {
+            Fault::Store(_) => self.store.set_mode(Mode::Up),
+            Fault::Connections(_) => {
+                for index in hosts {
+                    let balancers = self.balancers.get(*index).map(|host| &host.proxy);
+                    let agents = self.agents.get(*index).map(|host| &host.proxy);
+                    for proxy in balancers.into_iter().chain(agents) {
+                        proxy.set(Harm::None);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn crash_server(&mut self, index: usize, lasts: Duration) {
+        let host = &mut self.agents[index];
+        if host.server.take().is_some() && host.leaves.is_none() {
+            host.returns = Some(Instant::now() + lasts);
+        }
+    }
+
+    pub(super) fn drain(&mut self, index: usize) {
+        let other = self.random.random_bool(0.5);
+        let host = &mut self.agents[index];
+        let Some(server) = host.server.as_mut().filter(|server| !server.draining) else {
+            return;
+        };
+        server.draining = true;
+        let service = match SERVICES.iter().find(|name| **name != host.service) {
+            Some(name) if other => (*name).to_owned(),
+            _ => host.service.clone(),
+        };
+        host.leaves = Some((Instant::now() + DRAIN, service));
+        let name = server.name.clone();
+        // Its next heartbeat is not awaited.
+        self.heartbeat(index, name);
+    }
+}
--- /dev/null
+++ b/soak/src/run/mod.rs
@@ -0,0 +1,384 @@
+//! Plays a plan with real processes.
+
+mod clients;
+mod faults;
+mod servers;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{ensure, Context, Result};
+use flamingofall_emulator::check::{Broken, Checker};
+use flamingofall_emulator::client::{Client, Habits};
+use flamingofall_emulator::packet::Packet;
+use flamingofall_emulator::report::Report;
+use futures::StreamExt;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio_util::time::DelayQueue;
+
+use crate::fabric::{Caller, Fabric};
+use crate::host::{AgentHost, BalancerHost};
+use crate::plan::{Fault, Plan};
+use crate::process::{Launch, Process};
+use crate::proxy::Proxy;
+use crate::site::{Group, Role, Site, PACKETS, SERVER, STORE};
+use crate::store::Store;
+
+/// Time for the processes to find each other before the first request.
+const LEAD: Duration = Duration::from_secs(4);
+/// Time after the last fault in which the system recovers.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time after the recovery in which requests are counted.
+const MEASURED: Duration = Duration::from_secs(4);
+/// Share of the requests after the recovery that have to be served.
+const RECOVERED_SHARE: f64 = 0.25;
+/// Time after which a draining server may get no new flows.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// Time for which a draining server serves on.
+const DRAIN: Duration = Duration::from_secs(4);
+/// Time without faults after which a configuration has to be in force in time.
+const CALM: Duration = Duration::from_secs(4);
+/// Time within which a configuration has to be in force.
+const IN_FORCE: Duration = Duration::from_secs(3);
+const TICK: Duration = Duration::from_millis(10);
+const READINESS_EVERY: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_secs(2);
+/// Longest pause between a client's requests.
+const PAUSE_MAX_MS: u64 = 400;
+/// Services; every third agent serves the second.
+const SERVICES: [&str; 2] = ["portal", "statements"];
+/// Addresses of the services, and one whose service changes with each configuration.
+const ADDRESSES: [&str; 3] = ["198.18.0.1:443", "198.18.0.2:443", "198.18.0.3:443"];
+const MOVING: usize = 2;
+const DATAGRAM_MAX_BYTES: usize = 2048;
+
+enum Event {
+    ToClient(usize, Vec<u8>),
+    ToServer(usize, Vec<u8>),
+    Readiness(usize, bool),
+    Heartbeat {
+        host: usize,
+        server: String,
+        draining: bool,
+    },
+}
+
+enum Timer {
+    Ask(usize),
+    Client(usize),
+    Worked(usize, String, Packet),
+    Heartbeat(usize, String),
+    Readiness,
+    Fault(usize),
+    Heal(Fault, Vec<usize>),
+}
+
+/// A configuration that the store has acknowledged.
+struct Version {
+    acknowledged: Duration,
+    moving_to: usize,
+}
+
+/// What a run needs.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The platform's program.
+    pub program: PathBuf,
+    /// Where settings and logs go.
+    pub directory: PathBuf,
+    /// Second octet of all addresses.
+    pub site: u8,
+}
+
+struct World {
+    options: Options,
+    plan: Plan,
+    site: Site,
+    begun: Instant,
+    random: SmallRng,
+    store: Store,
+    balancers: Vec<BalancerHost>,
+    agents: Vec<AgentHost>,
+    callers: Vec<Caller>,
+    fabric: Fabric,
+    timers: DelayQueue<Timer>,
+    events: mpsc::UnboundedSender<Event>,
+    checker: Checker,
+    report: Report,
+    versions: Vec<Version>,
+    /// When the last fault began or ended.
+    disturbed: Duration,
+    next_id: u64,
+}
+
+/// Plays a plan. The report counts requests by the second since the first one.
+pub async fn run(plan: Plan, options: Options) -> Result<Report> {
+    let (events, mut arriving) = mpsc::unbounded_channel();
+    let mut world = World::start(plan, options, events).await?;
+    let last = world.plan.steps.iter().map(|step| step.at + step.lasts);
+    let quiet = last.max().unwrap_or_default().max(world.plan.length);
+    let end = LEAD + quiet + RECOVERY + MEASURED;
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while world.now() < end {
+        tokio::select! {
+            Some(event) = arriving.recv() => world.handle(event),
+            Some(timer) = world.timers.next() => world.timer(timer.into_inner())?,
+            _ = tick.tick() => world.tick()?,
+        }
+    }
+    world.judge_recovery(quiet + RECOVERY);
+    world.report.calls = world.store.calls();
+    Ok(world.report)
+}
+
+impl World {
+    async fn start(
+        plan: Plan,
+        options: Options,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Result<Self> {
+        std::fs::create_dir_all(&options.directory)?;
+        let site = Site(options.site);
+        let store = Store::start(site.at(Group::Store, 0, STORE)).await?;
+        let mut world = Self {
+            site,
+            begun: Instant::now(),
+            random: SmallRng::seed_from_u64(plan.seed),
+            store,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            callers: Vec::new(),
+            fabric: Fabric::default(),
+            timers: DelayQueue::new(),
+            events,
+            checker: Checker::new(DRAIN_LIMIT),
+            report: Report::new(),
+            versions: Vec::new(),
+            disturbed: Duration::ZERO,
+            next_id: 0,
+            plan,
+            options,
+        };
+        world.configure();
+        for index in 0..world.plan.size.balancers {
+            world.add_balancer(index).await?;
+        }
+        for index in 0..world.plan.size.agents {
+            world.add_agent(index).await?;
+        }
+        for index in 0..world.plan.size.clients {
+            world.add_client(index).await?;
+        }
+        for (index, step) in world.plan.steps.iter().enumerate() {
+            world.timers.insert(Timer::Fault(index), LEAD + step.at);
+        }
+        world.after(Duration::ZERO, Timer::Readiness);
+        Ok(world)
+    }
+
+    async fn add_balancer(&mut self, index: usize) -> Result<()> {
+        let launch = self.launch(Role::Balancer, index)?;
+        let at = self.site.at(Group::BalancerProxy, index, STORE);
+        self.balancers.push(BalancerHost {
+            process: Process::new(launch, Instant::now()),
+            proxy: Proxy::start(at, self.site.at(Group::Store, 0, STORE)).await?,
+            misses: crate::fabric::MISSES_MAX,
+        });
+        Ok(())
+    }
+
+    async fn add_agent(&mut self, index: usize) -> Result<()> {
+        let service = SERVICES[usize::from(index % 3 == 2)].to_owned();
+        let launch = self.launch(Role::Agent(&service), index)?;
+        let at = self.site.at(Group::AgentProxy, index, STORE);
+        let socket = UdpSocket::bind(self.site.at(Group::Agent, index, SERVER)).await?;
+        let socket = Arc::new(socket);
+        let events = self.events.clone();
+        receive(socket.clone(), move |bytes| {
+            events.send(Event::ToServer(index, bytes)).is_ok()
+        });
+        self.agents.push(AgentHost {
+            process: Process::new(launch, Instant::now()),
+            proxy: Proxy::start(at, self.site.at(Group::Store, 0, STORE)).await?,
+            service,
+            server: None,
+            socket,
+            drained: None,
+            leaves: None,
+            returns: None,
+        });
+        self.start_server(index);
+        Ok(())
+    }
+
+    async fn add_client(&mut self, index: usize) -> Result<()> {
+        let socket = UdpSocket::bind(self.site.at(Group::Client, index, PACKETS)).await?;
+        let socket = Arc::new(socket);
+        let events = self.events.clone();
+        receive(socket.clone(), move |bytes| {
+            events.send(Event::ToClient(index, bytes)).is_ok()
+        });
+        let address = index % ADDRESSES.len();
+        let habits = Habits {
+            fresh: address == MOVING || self.random.random_bool(0.3),
+            repeats: self.random.random_bool(0.6),
+            deadline: DEADLINE,
+        };
+        let ip = self.site.ip(Group::Client, index);
+        let client = Client::new(ip, ADDRESSES[address].parse()?, habits);
+        self.callers.push(Caller { client, socket });
+        let pause = self.pause();
+        self.after(LEAD + pause, Timer::Ask(index));
+        Ok(())
+    }
+
+    fn launch(&self, role: Role<'_>, index: usize) -> Result<Launch> {
+        let name = match role {
+            Role::Balancer => "balancer",
+            Role::Agent(_) => "agent",
+        };
+        let file = |extension| {
+            let file = format!("{name}-{index}.{extension}");
+            self.options.directory.join(file)
+        };
+        let seeds: Vec<usize> = (0..self.plan.size.balancers.min(3)).collect();
+        write(&file("toml"), &self.site.settings(role, index, &seeds))?;
+        Ok(Launch {
+            program: self.options.program.clone(),
+            role: name,
+            settings: file("toml"),
+            log: file("log"),
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    fn after(&mut self, wait: Duration, timer: Timer) {
+        self.timers.insert(timer, wait);
+    }
+
+    fn pause(&mut self) -> Duration {
+        Duration::from_millis(self.random.random_range(10..PAUSE_MAX_MS))
+    }
+
+    fn broke(&mut self, broken: &Broken) {
+        let now = self.now();
+        self.report.broke(now, broken);
+    }
+
+    fn tick(&mut self) -> Result<()> {
+        let now = Instant::now();
+        let mut alone = Vec::new();
+        for (index, host) in self.balancers.iter_mut().enumerate() {
+            if host.process.tick(now)? {
+                alone.push(format!("balancer {index}"));
+            }
+        }
+        for (index, host) in self.agents.iter_mut().enumerate() {
+            if host.process.tick(now)? {
+                alone.push(format!("agent {index}"));
+            }
+        }
+        for process in alone {
+            self.broke(&Broken::Ended(process));
+        }
+        for index in 0..self.agents.len() {
+            let host = &mut self.agents[index];
+            if host.returns.is_some_and(|at| at <= now) {
+                self.start_server(index);
+            } else if host.leaves.as_ref().is_some_and(|(at, _)| *at <= now) {
+                self.leave(index)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::ToClient(index, bytes) => self.client_receives(index, &bytes),
+            Event::ToServer(index, bytes) => self.server_receives(index, bytes),
+            Event::Readiness(index, ready) => {
+                let host = &mut self.balancers[index];
+                host.misses = if ready { 0 } else { host.misses + 1 };
+            }
+            Event::Heartbeat {
+                host,
+                server,
+                draining,
+            } => self.acknowledged(host, &server, draining),
+        }
+    }
+
+    fn timer(&mut self, timer: Timer) -> Result<()> {
+        match timer {
+            Timer::Ask(index) => self.ask(index),
+            Timer::Client(index) => self.client_timer(index),
+            Timer::Worked(index, name, packet) => self.worked(index, &name, &packet),
+            Timer::Heartbeat(index, name) => self.heartbeat(index, name),
+            Timer::Readiness => self.check_readiness(),
+            Timer::Fault(index) => {
+                let step = self.plan.steps[index];
+                log::info!("event=fault {step}");
+                self.inject(&step)?;
+            }
+            Timer::Heal(fault, hosts) => self.heal(fault, &hosts),
+        }
+        Ok(())
+    }
+
+    fn judge_recovery(&mut self, since: Duration) {
+        let seconds = self.report.seconds.iter().skip(since.as_secs() as usize);
+        let (served, failed) = seconds.fold((0, 0), |(a, b), (s, f)| (a + s, b + f));
+        let share = served as f64 / (served + failed).max(1) as f64;
+        log::info!("event=recovered served={served} failed={failed}");
+        if share < RECOVERED_SHARE {
+            self.broke(&Broken::NotRecovered { served, failed });
+        }
+    }
+}
+
+/// Passes the datagrams of a socket on until nobody wants them.
+fn receive(socket: Arc<UdpSocket>, pass: impl Fn(Vec<u8>) -> bool + Send + 'static) {
+    tokio::spawn(async move {
+        let mut buffer = [0; DATAGRAM_MAX_BYTES];
+        loop {
+            match socket.recv_from(&mut buffer).await {
+                Ok((length, _)) => {
+                    if !pass(buffer[..length].to_vec()) {
+                        return;
+                    }
+                }
+                // The other end has no socket at the moment.
+                Err(error) => log::debug!("event=receive_failed reason={error:?}"),
+            }
+        }
+    });
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    std::fs::write(path, text).with_context(|| format!("can't write {}", path.display()))
+}
+
+/// The first second octet at or after `from` whose addresses are free.
+pub fn free_site(from: u8) -> Result<u8> {
+    let free = (from..=239).chain(16..from).find(|octet| {
+        let store = Site(*octet).at(Group::Store, 0, STORE);
+        std::net::TcpListener::bind(store).is_ok()
+    });
+    free.context("no free loopback addresses")
+}
+
+/// Fails if a run broke a guarantee or served nothing.
+pub fn judge(report: &Report) -> Result<()> {
+    ensure!(report.served > 0, "no request was served");
+    ensure!(report.broken.is_empty(), "{}", report.broken.join("\n"));
+    Ok(())
+}
--- /dev/null
+++ b/soak/src/run/servers.rs
@@ -0,0 +1,191 @@
+//! Servers beside the agents, and what they see.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::Result;
+use flamingofall::packet::Flow;
+use flamingofall_emulator::check::{Arrival, Broken};
+use flamingofall_emulator::packet::{Action, Packet};
+use flamingofall_emulator::server::Effect;
+use hyper::Method;
+
+use crate::fabric::send;
+use crate::host::{announce, call};
+use crate::packet::{self, Content, Sender};
+use crate::process::GRACE;
+use crate::site::{Group, Role, FROM_SERVER, HEARTBEATS, HEARTBEAT_MS};
+
+use super::{Event, Timer, World, ADDRESSES, CALM, DRAIN_LIMIT, IN_FORCE, MOVING, SERVICES};
+
+impl World {
+    pub(super) fn start_server(&mut self, index: usize) {
+        let now = self.now();
+        let started = SystemTime::now().duration_since(UNIX_EPOCH);
+        let started = started.unwrap_or_default().as_millis() as u64;
+        let host = &mut self.agents[index];
+        host.start_server(index, now, started);
+        if let Some(server) = &host.server {
+            let name = server.name.clone();
+            self.after(Duration::ZERO, Timer::Heartbeat(index, name));
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, index: usize, name: String) {
+        let to = self.site.at(Group::Agent, index, HEARTBEATS);
+        let server = self.agents[index].server.as_mut();
+        let Some(server) = server.filter(|server| server.name == name) else {
+            return;
+        };
+        let (path, body) = announce(server, to);
+        let draining = server.draining;
+        let (events, server) = (self.events.clone(), name.clone());
+        tokio::spawn(async move {
+            let answered = call(to, Method::POST, &path, body).await;
+            if answered.is_ok_and(|status| status.is_success()) {
+                // The run has ended if nobody listens any more.
+                let _ = events.send(Event::Heartbeat {
+                    host: index,
+                    server,
+                    draining,
+                });
+            }
+        });
+        self.after(
+            Duration::from_millis(HEARTBEAT_MS),
+            Timer::Heartbeat(index, name),
+        );
+    }
+
+    pub(super) fn acknowledged(&mut self, index: usize, name: &str, draining: bool) {
+        let now = self.now();
+        let host = &mut self.agents[index];
+        let current = host.server.as_ref().is_some_and(|s| s.name == name);
+        if current && draining && host.drained.is_none() {
+            host.drained = Some(now);
+        }
+    }
+
+    pub(super) fn server_receives(&mut self, index: usize, mut bytes: Vec<u8>) {
+        let packet = match packet::decode(&bytes, Sender::Client) {
+            Content::Genuine(packet) => packet,
+            Content::Reset(_) | Content::Forged => {
+                return self.broke(&Broken::Forged(format!("server {index}")));
+            }
+        };
+        self.judge_arrival(index, &packet);
+        let Some(server) = &mut self.agents[index].server else {
+            return;
+        };
+        let effects = server.packet(packet);
+        packet::mark_returned(&mut bytes);
+        self.effects(index, &bytes, effects);
+    }
+
+    pub(super) fn judge_arrival(&mut self, index: usize, packet: &Packet) {
+        let flow = packet.flow();
+        let host = &self.agents[index];
+        let Some(server) = &host.server else {
+            return;
+        };
+        let opening = packet.action == Action::Open;
+        self.report.openings += u64::from(opening);
+        let arrival = Arrival {
+            flow,
+            opening,
+            server: &server.name,
+            service: &server.service,
+            holds: server.holds(&flow),
+            held_elsewhere: self.agents.iter().any(|other| {
+                other.process.runs() && other.server.as_ref().is_some_and(|s| s.holds(&flow))
+            }),
+            drained: host.drained,
+        };
+        let now = self.now();
+        let broken = self.checker.arrival(&arrival, now);
+        let outdated = opening && self.is_outdated(&flow, &host.service);
+        if let Some(broken) = broken {
+            self.broke(&broken);
+        }
+        if outdated {
+            self.broke(&Broken::Outdated(flow));
+        }
+    }
+
+    /// Whether a flow was opened too long after a configuration was acknowledged to follow an older
+    /// one. Only the last one is judged, and only in calm times.
+    pub(super) fn is_outdated(&self, flow: &Flow, service: &str) -> bool {
+        let opened = self.fabric.opened.get(flow);
+        let (Some(opened), Some(version)) = (opened, self.versions.last()) else {
+            return false;
+        };
+        let moving = ADDRESSES[MOVING].parse() == Ok(flow.destination);
+        let calm = self.disturbed + CALM < *opened;
+        let due = version.acknowledged + IN_FORCE < *opened;
+        moving && calm && due && service != SERVICES[version.moving_to]
+    }
+
+    pub(super) fn effects(&mut self, index: usize, returned: &[u8], effects: Vec<Effect>) {
+        let to = self.site.at(Group::Agent, index, FROM_SERVER);
+        let host = &self.agents[index];
+        let name = host.server.as_ref().map(|server| server.name.clone());
+        let socket = host.socket.clone();
+        for effect in effects {
+            match effect {
+                Effect::Send(packet) => {
+                    send(&socket, &packet::encode(&packet, Sender::Server), to);
+                }
+                Effect::Return(_) => send(&socket, returned, to),
+                Effect::Work(packet, time) => {
+                    let id = packet.request.unwrap_or_default();
+                    let at = format!("{} in {}", name.as_deref().unwrap_or("-"), packet.flow());
+                    let caller = self
+                        .callers
+                        .iter()
+                        .find(|caller| caller.client.ip() == packet.client.ip());
+                    let repeats = caller.is_some_and(|caller| caller.client.repeats());
+                    if let Some(broken) = self.checker.runs(id, repeats, at) {
+                        self.broke(&broken);
+                    }
+                    let name = name.clone().unwrap_or_default();
+                    self.after(time, Timer::Worked(index, name, packet));
+                }
+            }
+        }
+    }
+
+    pub(super) fn worked(&mut self, index: usize, name: &str, packet: &Packet) {
+        let server = self.agents[index].server.as_mut();
+        let Some(server) = server.filter(|server| server.name == name) else {
+            return;
+        };
+        let effects = server.worked(packet);
+        self.effects(index, &[], effects);
+    }
+
+    /// A draining server ends, and its agent is stopped; a server of another service follows.
+    pub(super) fn leave(&mut self, index: usize) -> Result<()> {
+        let host = &mut self.agents[index];
+        let Some((_, service)) = host.leaves.take() else {
+            return Ok(());
+        };
+        host.service = service;
+        if let Some(server) = host.server.take() {
+            let path = format!("/flamingofall/Instances.Deregister/{}", server.name);
+            let to = self.site.at(Group::Agent, index, HEARTBEATS);
+            tokio::spawn(async move {
+                if let Err(error) = call(to, Method::POST, &path, Vec::new()).await {
+                    log::info!(
+                        "event=leave_unheard server={} reason={error:?}",
+                        server.name
+                    );
+                }
+            });
+        }
+        let now = Instant::now();
+        host.process.stop(DRAIN_LIMIT, now)?;
+        host.returns = Some(now + GRACE + DRAIN_LIMIT);
+        let service = host.service.clone();
+        self.launch(Role::Agent(&service), index)?;
+        Ok(())
+    }
+}
--- a/src/steering/balancer/search.rs
+++ b/src/steering/balancer/search.rs
@@ -14,6 +14,9 @@
 /// Time after the start before a search without a result counts as evidence that a flow's server
 /// is gone.
 const LEARN_TIME: Duration = Duration::from_millis(600);
+/// Packets that come within this time belong to one search: a client sends several at once, and
+/// repeats the first after 200 ms at the earliest.
+const SEARCH_TIME: Duration = Duration::from_millis(100);
 
 impl Balancer {
     /// Sends a packet of a flow whose agent isn't known along the candidates.
@@ -39,25 +42,31 @@
             .entry(flow)
             .or_insert_with(|| Known::new(likeliest, now));
         known.seen = now;
+        let recent = |at| now.saturating_duration_since(at) < SEARCH_TIME;
+        let begins = !known.searched.is_some_and(recent);
+        if begins {
+            known.searched = Some(now);
+            known.lookups += 1;
+        }
+        let search = known.lookups.saturating_sub(1);
         // Agents that were asked to open the flow come first.
         let (asked, agent) = (&known.asked, known.agent);
         for holders in [&mut prompt, &mut late] {
             holders.sort_by_key(|holder| (*holder != agent, !asked.contains(holder)));
             // A candidate out of reach would stop every lookup at the same place.
-            let skip = known.lookups as usize / 2 % holders.len().max(1);
+            let skip = search as usize / 2 % holders.len().max(1);
             holders.rotate_left(skip);
-            if known.lookups % 2 == 1 {
+            if search % 2 == 1 {
                 holders.reverse();
             }
         }
-        known.lookups += 1;
         let mut holders = prompt;
         holders.append(&mut late);
         // Agents missing in the directory have announced themselves by then.
         let learned = self.listed && now.saturating_duration_since(self.started) > LEARN_TIME;
         let complete = learned && holders.len() <= CANDIDATES_MAX;
         holders.truncate(CANDIDATES_MAX);
-        if known.lookups == 1 && asked.is_empty() {
+        if begins && known.lookups == 1 && asked.is_empty() {
             out.push(note(
                 Topic::Lookup,
                 format!(
@@ -86,6 +95,7 @@
             .entry(flow)
             .or_insert_with(|| Known::new(owner.agent, now));
         known.lookups = 0;
+        known.searched = None;
         let Some(sequence) = owner.accepted else {
             known.own(owner.agent, owner.process);
             known.chosen = true;
--- a/src/steering/known.rs
+++ b/src/steering/known.rs
@@ -36,8 +36,10 @@
     pub asked: Vec<SocketAddr>,
     /// When the flow's first packet came.
     pub since: Instant,
-    /// Lookups sent since the owner was last known.
+    /// Searches begun since the owner was last known.
     pub lookups: u32,
+    /// When the last of them began.
+    pub searched: Option<Instant>,
     /// When the flow's last packet came.
     pub seen: Instant,
 }
@@ -55,6 +57,7 @@
             asked: Vec::new(),
             since: now,
             lookups: 0,
+            searched: None,
             seen: now,
         }
     }
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -794,15 +794,20 @@
     for port in 1..40 {
         let mut balancer = balancer(6, now);
         let mut searches = Vec::new();
-        for _ in 0..2 {
+        for millis in [0, 5, 205] {
             let mut out = Vec::new();
             let data = segment(flow(port), Kind::Data, 1);
-            balancer.packet(data, vec![1], now, &mut out);
+            let at = now + Duration::from_millis(millis);
+            balancer.packet(data, vec![1], at, &mut out);
             let (first, forward) = forwards(&out).remove(0);
             searches.push([vec![first], forward.candidates].concat());
         }
         let reversed: Vec<_> = searches[0].iter().rev().copied().collect();
-        assert_eq!(searches[1], reversed, "port {port}");
+        assert_eq!(
+            searches[1], searches[0],
+            "packets sent at once, port {port}"
+        );
+        assert_eq!(searches[2], reversed, "port {port}");
     }
 }
 
