Search agents last that have not heard from their server

What the three cases share: the reset came from a host whose agent had started 0.2 to 0.7 s before and whose server had sent no heartbeat yet, while the flow's own server was found directly. The agent sends no reset in that state, so the server beside it is taken for its writer; that is inferred, not shown. Change: agents in state waiting are asked after all others. Test: steering waiting_searched_last, failed before.

--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -119,7 +119,8 @@
 /// Agents that may hold an open flow, the likeliest first: those of likely services, then others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Holders {
-    /// Agents that announced themselves to this balancer and were heard within [`LATE_AFTER`].
+    /// Agents that announced themselves and their servers to this balancer, and were heard within
+    /// [`LATE_AFTER`].
     pub prompt: Vec<SocketAddr>,
     /// The others, those that are suspect last.
     pub late: Vec<SocketAddr>,
@@ -278,9 +279,10 @@
             entry.member.state != State::Gone && !(reachable && silent(entry, now, LOST_AFTER))
         });
         order.sort_by_key(|entry| (suspect(entry, now), !likely(&entry.member.service)));
-        let (late, prompt): (Vec<_>, Vec<_>) = order
-            .into_iter()
-            .partition(|entry| !entry.direct || silent(entry, now, LATE_AFTER));
+        let (late, prompt): (Vec<_>, Vec<_>) = order.into_iter().partition(|entry| {
+            let unheard = !entry.direct || entry.member.state == State::Waiting;
+            unheard || silent(entry, now, LATE_AFTER)
+        });
         let agents = |entries: Vec<&Entry>| entries.iter().map(|e| e.member.agent).collect();
         Holders {
             prompt: agents(prompt),
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -877,3 +877,19 @@
     balancer.message(agent_addr(1), message, |_| None, now, &mut out);
     assert_eq!(resets(&out), 0);
 }
+
+// Guards against packets of open flows at servers that have only just started: agents that haven't
+// heard from their server are searched last.
+#[test]
+fn waiting_searched_last() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    for (index, state) in [(1, State::Waiting), (2, State::Ready), (3, State::Draining)] {
+        roster.merge(member(index, "portal", state), true, now);
+    }
+    for port in 1..20 {
+        let holders = roster.holders(|_| true, &flow(port), now);
+        assert_eq!(holders.prompt.len(), 2);
+        assert_eq!(holders.late, [agent_addr(1)]);
+    }
+}
