--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -893,3 +893,45 @@
         assert_eq!(holders.late, [agent_addr(1)]);
     }
 }
+
+// Guards against a balancer that goes on after it stood still, and places the old copies of a flow's
+// opening packet that waited for it: the flow is open elsewhere by then, and must not be reset with
+// the server that accepted such a copy.
+#[test]
+fn stale_opening() {
+    let now = Instant::now();
+    let mut balancer = balancer(3, now);
+    let mut out = Vec::new();
+    for copy in 0..2 {
+        let syn = segment(flow(1), Kind::Open, copy);
+        balancer.packet(syn, vec![1], now, &mut out);
+    }
+    let to: Vec<_> = forwards(&out).into_iter().map(|(to, _)| to).collect();
+    for (index, agent) in (1..=3).map(|index| (index, agent_addr(index))) {
+        if to.contains(&agent) {
+            let owner = Message::Owner(flamingofall::steering::message::Owner {
+                client: flow(1).source,
+                address: flow(1).destination,
+                agent,
+                process: Some(member(index, "portal", State::Ready).process()),
+                accepted: Some(100 * u32::from(index)),
+            });
+            balancer.message(agent, owner, |_| None, now, &mut out);
+        }
+    }
+    out.clear();
+    for index in 1..=3 {
+        let mut gone = member(index, "portal", State::Gone);
+        gone.sequence = Sequence(2);
+        let announce = Announce {
+            member: gone,
+            busy: 0,
+            flows: 0,
+            pace: None,
+            balancers: 1,
+        };
+        let message = Message::Announce(announce);
+        balancer.message(agent_addr(index), message, |_| None, now, &mut out);
+    }
+    assert_eq!(resets(&out), 0);
+}
