--- a/tests/steering.rs
+++ b/tests/steering/main.rs
@@ -1,180 +1,20 @@
 //! Tests of single decisions of the balancer and the agent. `emulator/tests` runs whole systems.
 
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+mod fixture;
 
-use flamingofall::id::{Generation, Incarnation, Sequence, Slots};
-use flamingofall::packet::{Flow, Protocol};
-use flamingofall::steering::agent::{self, Agent, Heartbeat, HeartbeatOutcome};
+use flamingofall::id::{Generation, Incarnation, Sequence};
+use flamingofall::packet::Flow;
+use flamingofall::steering::agent::{self, Agent, HeartbeatOutcome};
 use flamingofall::steering::balancer::{self, Balancer};
-use flamingofall::steering::message::{Announce, Forward, Message};
-use flamingofall::steering::roster::{
-    LookupCandidates, Member, Roster, State, LOST_AFTER, SUSPECT_AFTER,
-};
-use flamingofall::steering::routes::{Repeat, Route, RouteTable, Routes, Target};
-use flamingofall::steering::segment::{Kind, Segment};
+use flamingofall::steering::message::{Announce, Message};
+use flamingofall::steering::roster::{Roster, State, LOST_AFTER, SUSPECT_AFTER};
+use flamingofall::steering::routes::{Repeat, RouteTable};
+use flamingofall::steering::segment::Kind;
 use flamingofall::steering::snapshot::{SavedFlow, Snapshot};
+use std::time::{Duration, Instant};
 use yare::parameterized;
 
-fn addr(text: &str) -> SocketAddr {
-    text.parse().unwrap()
-}
-
-fn agent_addr(index: u8) -> SocketAddr {
-    SocketAddr::from(([10, 1, 0, index], 8172))
-}
-
-fn flow(port: u16) -> Flow {
-    Flow {
-        protocol: Protocol::Tcp,
-        source: SocketAddr::from(([100, 64, 0, 1], port)),
-        destination: addr("198.18.0.1:443"),
-    }
-}
-
-fn segment(flow: Flow, kind: Kind, acknowledgement: u32) -> Segment {
-    Segment {
-        flow,
-        kind,
-        sequence: 7,
-        acknowledgement,
-        length: u16::from(kind == Kind::Data) * 100,
-    }
-}
-
-fn member(index: u8, service: &str, state: State) -> Member {
-    Member {
-        agent: agent_addr(index),
-        incarnation: Incarnation(1),
-        sequence: Sequence(1),
-        service: service.into(),
-        server: format!("server-{index}"),
-        started: 1,
-        state,
-        slots: Slots(4),
-    }
-}
-
-fn routes(generation: u64, services: &[(&str, u32)]) -> Routes {
-    let targets = services
-        .iter()
-        .map(|(service, weight)| Target {
-            service: (*service).into(),
-            weight: *weight,
-        })
-        .collect();
-    Routes {
-        generation: Generation(generation),
-        version: generation,
-        routes: vec![Route {
-            name: "route".into(),
-            address: addr("198.18.0.1:443"),
-            targets,
-            repeat: Repeat::Idempotent,
-            objective: Duration::from_millis(200),
-            priority: 1,
-        }],
-        idle_timeout: Duration::from_secs(15),
-    }
-}
-
-fn balancer(agents: u8, now: Instant) -> Balancer {
-    let mut out = Vec::new();
-    let mut balancer = Balancer::new(addr("10.0.0.1:7720"), now);
-    balancer.configure(routes(1, &[("portal", 1)]), "test", &mut out);
-    let members = (1..=agents).map(|i| member(i, "portal", State::Ready));
-    balancer.merge_directory(members.collect(), Vec::new(), now, &mut out);
-    balancer
-}
-
-/// Packets that the outputs forward, each with the agent that gets it.
-fn forwards(out: &[balancer::Output]) -> Vec<(SocketAddr, Forward)> {
-    out.iter()
-        .filter_map(|output| match output {
-            balancer::Output::Send(to, Message::Forward(forward)) => Some((*to, forward.clone())),
-            _ => None,
-        })
-        .collect()
-}
-
-fn resets(out: &[balancer::Output]) -> usize {
-    let reset = |output: &&balancer::Output| matches!(output, balancer::Output::Reset { .. });
-    out.iter().filter(reset).count()
-}
-
-fn candidate_count(candidates: LookupCandidates) -> usize {
-    candidates.responsive.len() + candidates.overdue.len()
-}
-
-fn decode_as(segment: Segment) -> impl Fn(&[u8]) -> Option<Segment> {
-    move |_| Some(segment)
-}
-
-fn forward(service: &str, candidates: Vec<SocketAddr>, lookup: bool) -> Forward {
-    Forward {
-        at_most_once: true,
-        service: service.into(),
-        origin: addr("10.0.0.1:7720"),
-        lookup,
-        candidates,
-        passes: 0,
-        complete: true,
-        packet: vec![1],
-    }
-}
-
-fn heartbeat(server: &str, started: u64, sequence: u64, state: State) -> Heartbeat {
-    Heartbeat {
-        server: server.into(),
-        started,
-        service: "portal".into(),
-        state,
-        slots: Slots(1),
-        sequence,
-    }
-}
-
-fn ready_agent(now: Instant) -> Agent {
-    let mut agent = Agent::new(
-        agent_addr(1),
-        "portal".into(),
-        Incarnation(1),
-        Duration::from_millis(770),
-        now,
-    );
-    agent.heartbeat(heartbeat("a", 1, 1, State::Ready), now, &mut Vec::new());
-    agent
-}
-
-fn forward_to_agent(
-    agent: &mut Agent,
-    segment: Segment,
-    forward: Forward,
-    now: Instant,
-) -> Vec<agent::Output> {
-    let mut out = Vec::new();
-    let from = addr("10.0.0.1:7720");
-    agent.message(
-        from,
-        Message::Forward(forward),
-        decode_as(segment),
-        now,
-        &mut out,
-    );
-    out
-}
-
-fn delivered(out: &[agent::Output]) -> Option<u32> {
-    out.iter().find_map(|output| match output {
-        agent::Output::Deliver { token, .. } => Some(*token),
-        _ => None,
-    })
-}
-
-fn agent_resets(out: &[agent::Output]) -> usize {
-    let reset = |output: &&agent::Output| matches!(output, agent::Output::Reset { .. });
-    out.iter().filter(reset).count()
-}
+use fixture::*;
 
 // Guards against retransmitted opening packets that go to the agent where the first one was lost.
 #[test]
