Let the emulator write the log of a plain run

Only `mix` could write the log lines of all processes, so a broken run of a scenario file couldn't be traced with `flamingofall explain`.

--- a/emulator/src/cli.rs
+++ b/emulator/src/cli.rs
@@ -50,6 +50,10 @@
     /// write a plot of the requests of each second as SVG, summed over the runs
     #[argh(option)]
     plot: Option<PathBuf>,
+
+    /// write the log lines of all processes in the first run to a file, for `flamingofall explain`
+    #[argh(option)]
+    log: Option<PathBuf>,
 }
 
 /// Run a scenario with additional random events, others for each seed.
@@ -121,6 +125,9 @@
 
 fn run_seeds(command: &RunCommand) -> Result<()> {
     let scenario = Scenario::read(&command.scenario)?;
+    if let Some(path) = &command.log {
+        write_log(path, scenario.clone(), command.seed)?;
+    }
     let seeds = command.seed..command.seed + command.runs;
     let reports = experiment::simulate_seeds(&scenario, seeds.clone(), worker_threads());
     for (seed, report) in seeds.zip(&reports) {
@@ -141,10 +148,11 @@
 fn mix(command: &MixCommand) -> Result<()> {
     let scenario = Scenario::read(&command.scenario)?;
     if let Some(path) = &command.log {
-        let report =
-            simulation::simulate_with_log(scenario.with_random_events(command.seed), command.seed);
-        std::fs::write(path, report.log_lines.join("\n"))
-            .with_context(|| format!("failed to write {}", path.display()))?;
+        write_log(
+            path,
+            scenario.with_random_events(command.seed),
+            command.seed,
+        )?;
     }
     let seeds: Vec<u64> = (command.seed..command.seed + command.runs).collect();
     let reports = experiment::run_parallel(&seeds, worker_threads(), |seed| {
@@ -206,6 +214,13 @@
     ensure_no_violations(violations)
 }
 
+/// Runs the scenario with the seed and writes the log lines of all processes.
+fn write_log(path: &Path, scenario: Scenario, seed: u64) -> Result<()> {
+    let report = simulation::simulate_with_log(scenario, seed);
+    std::fs::write(path, report.log_lines.join("\n"))
+        .with_context(|| format!("failed to write {}", path.display()))
+}
+
 fn ensure_no_violations(violations: usize) -> Result<()> {
     ensure!(violations == 0, "{violations} guarantees were broken");
     Ok(())
