--- a/tests/steering/fixture.rs
+++ b/tests/steering/fixture.rs
@@ -12,6 +12,9 @@
 use flamingofall::steering::routes::{Repeat, Route, Routes, Target};
 use flamingofall::steering::segment::{Kind, Segment};
 
+/// Control address of the balancer under test.
+pub const BALANCER: &str = "10.0.0.1:7720";
+
 pub fn addr(text: &str) -> SocketAddr {
     text.parse().unwrap()
 }
@@ -76,7 +79,7 @@
 
 pub fn balancer(agents: u8, now: Instant) -> Balancer {
     let mut out = Vec::new();
-    let mut balancer = Balancer::new(addr("10.0.0.1:7720"), now);
+    let mut balancer = Balancer::new(addr(BALANCER), now);
     balancer.configure(routes(1, &[("portal", 1)]), "test", &mut out);
     let members = (1..=agents).map(|i| member(i, "portal", State::Ready));
     balancer.merge_directory(members.collect(), Vec::new(), now, &mut out);
@@ -110,7 +113,7 @@
     Forward {
         at_most_once: true,
         service: service.into(),
-        origin: addr("10.0.0.1:7720"),
+        origin: addr(BALANCER),
         lookup,
         candidates,
         passes: 0,
@@ -149,7 +152,7 @@
     now: Instant,
 ) -> Vec<agent::Output> {
     let mut out = Vec::new();
-    let from = addr("10.0.0.1:7720");
+    let from = addr(BALANCER);
     agent.message(
         from,
         Message::Forward(forward),
