Keep the balancers that an agent knows until a list omits them

What callers saw: an open flow was reset by a balancer's host while its server served, without any fault, once the system had run for more than a minute.

Cause: an agent removed a balancer that no list had named for 60 s, but balancers send their list only if the counts differ. Where no balancer joins or leaves for a minute, agents stop announcing themselves, and balancers count living agents as lost. The class of fault: silence was taken for evidence, here of a balancer's end.

Change: silence removes nothing any more. A balancer is removed when a list arrives and none has named it for 60 s, and an agent asks one balancer for its list if a balancer hasn't been named for 20 s, by a count that differs from every balancer's.

--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -29,8 +29,12 @@
 const PENDING_MAX: usize = 8192;
 /// Flows without packets are removed after this time: the longest lifetime of a flow.
 const FLOW_EXPIRY: Duration = Duration::from_secs(65);
-/// Balancers that haven't been named to the agent for this long are removed.
+/// A balancer is removed when a list arrives that no longer names it, this long after the last one
+/// that did.
 const BALANCER_EXPIRY: Duration = Duration::from_secs(60);
+/// A balancer that no list has named for this long makes the agent ask for a list, early enough for
+/// several lost answers.
+const BALANCER_RENEWAL: Duration = Duration::from_secs(20);
 /// Heartbeat intervals without a heartbeat after which the server gets no new flows.
 const MISSED_HEARTBEATS_MAX: u32 = 3;
 
@@ -105,7 +109,10 @@
     /// Delivered packets; the packet of `token` is at `token % PENDING_MAX`.
     pending: Vec<Option<Pending>>,
     next_token: u32,
+    /// When each balancer was last named to the agent.
     balancers: BTreeMap<SocketAddr, Instant>,
+    /// Number of announcements that asked for a list of balancers.
+    renewals: usize,
     announce_due: Instant,
     expire_due: Instant,
     /// Measures the server's recent answers.
@@ -148,6 +155,7 @@
             pending: (0..PENDING_MAX).map(|_| None).collect(),
             next_token: 1,
             balancers: BTreeMap::new(),
+            renewals: 0,
             announce_due: now,
             expire_due: now,
             meter: ResponseMeter::default(),
@@ -214,6 +222,8 @@
                 for balancer in balancers {
                     self.add_balancer(balancer, now);
                 }
+                self.balancers
+                    .retain(|_, named| now.saturating_duration_since(*named) < BALANCER_EXPIRY);
             }
             Message::Owner(_)
             | Message::Exhausted(_)
@@ -304,8 +314,6 @@
             self.flows.retain(|_, tracked| {
                 now.saturating_duration_since(tracked.last_packet_at) < FLOW_EXPIRY
             });
-            self.balancers
-                .retain(|_, heard| now.saturating_duration_since(*heard) < BALANCER_EXPIRY);
         }
     }
 
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -1,15 +1,16 @@
 //! Tracks the state of the server and announces it to balancers.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::id::Sequence;
 use crate::packet::Flow;
 use crate::steering::agent_flow::AgentFlow;
 use crate::steering::log_event::Topic;
-use crate::steering::message::{Announce, Message};
+use crate::steering::message::{Announce, Message, LIST_WANTED};
 use crate::steering::roster::{Member, State};
 
-use super::{log_event, owner, Agent, Heartbeat, HeartbeatOutcome, Output};
+use super::{log_event, owner, Agent, Heartbeat, HeartbeatOutcome, Output, BALANCER_RENEWAL};
 
 /// Interval between announcements to each balancer.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
@@ -95,11 +96,28 @@
             stats: self.meter.stats(now),
             balancers: self.balancers.len() as u32,
         };
+        let renewal = self.balancer_to_ask(now);
         for balancer in self.balancers.keys() {
-            out.push(Output::Send(*balancer, Message::Announce(announce.clone())));
+            let mut announce = announce.clone();
+            if renewal == Some(*balancer) {
+                announce.balancers = LIST_WANTED;
+            }
+            out.push(Output::Send(*balancer, Message::Announce(announce)));
         }
     }
 
+    /// Selects a balancer to ask for a list if one hasn't been named for [`BALANCER_RENEWAL`]. Asks
+    /// another one each time, as some may not run any more.
+    fn balancer_to_ask(&mut self, now: Instant) -> Option<SocketAddr> {
+        let stale = |named: &Instant| now.saturating_duration_since(*named) >= BALANCER_RENEWAL;
+        if !self.balancers.values().any(stale) {
+            return None;
+        }
+        let index = self.renewals % self.balancers.len();
+        self.renewals = self.renewals.wrapping_add(1);
+        self.balancers.keys().nth(index).copied()
+    }
+
     pub(super) fn set_state(
         &mut self,
         state: State,
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -78,11 +78,14 @@
     /// Recent response times and failures; none if there were too few requests.
     #[serde(rename = "pace")]
     pub stats: Option<ResponseStats>,
-    /// Number of balancers that the agent knows. A balancer that knows another number sends its
-    /// list.
+    /// Number of balancers that the agent knows, or [`LIST_WANTED`]. A balancer that knows another
+    /// number sends its list.
     pub balancers: u32,
 }
 
+/// Value of [`Announce::balancers`] that no balancer's own count equals, so that it sends its list.
+pub const LIST_WANTED: u32 = 0;
+
 /// A balancer's periodic report to its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
