Ask agents that are not heard last instead of leaving them out

What callers saw: an open flow was reset, reason=no_server_holds_it, while its server served.

Cause: a lookup left out agents that had been silent for 4 s, as long as most others were heard, and still called itself complete. The agent that holds the flow may be silent towards this balancer only, and the reset then rests on its silence.

Change: such agents are the last candidates. An agent that lives takes the packet, and the flow goes on; if it is lost, the lookup ends in nothing, as with any silent agent. `most_heard` is not needed any more.

Not measured here: what the resets gained that are gone, flows that nobody holds while some host is lost for good.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -6,7 +6,6 @@
 use crate::steering::balancer_flow::{Acceptance, BalancerFlow};
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Forward, Message, Owner};
-use crate::steering::roster::LookupCandidates;
 use crate::steering::segment::Segment;
 
 use super::{log_event, Balancer, Output, CANDIDATES_MAX};
@@ -32,11 +31,8 @@
         let flow = segment.flow;
         let routes = &self.routes;
         let may_serve = |service: &str| routes.may_serve(&flow.destination, service);
-        let LookupCandidates {
-            mut responsive,
-            mut overdue,
-        } = self.roster.lookup_candidates(may_serve, &flow, now);
-        let Some(likeliest) = responsive.first().or(overdue.first()).copied() else {
+        let mut found = self.roster.lookup_candidates(may_serve, &flow, now);
+        let Some(likeliest) = found.groups().into_iter().flatten().next().copied() else {
             return;
         };
         let tracked = self
@@ -53,7 +49,7 @@
         let attempt = tracked.lookups.saturating_sub(1);
         // Agents that got the opening packet come first.
         let (tried_agents, agent) = (&tracked.tried_agents, tracked.agent);
-        for candidates in [&mut responsive, &mut overdue] {
+        for candidates in found.groups() {
             candidates
                 .sort_by_key(|candidate| (*candidate != agent, !tried_agents.contains(candidate)));
             // An unreachable candidate would stop every lookup at the same place, so repeated
@@ -64,8 +60,11 @@
                 candidates.reverse();
             }
         }
-        let mut candidates = responsive;
-        candidates.append(&mut overdue);
+        let mut candidates: Vec<_> = found
+            .groups()
+            .into_iter()
+            .flat_map(std::mem::take)
+            .collect();
         let discovery_done =
             self.directory_read && now.saturating_duration_since(self.started) > DISCOVERY_TIME;
         let complete = discovery_done && candidates.len() <= CANDIDATES_MAX;
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -109,8 +109,8 @@
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1300);
 /// Agents not heard for this long are removed: the longest lifetime of a flow.
 pub const AGENT_EXPIRY: Duration = Duration::from_secs(60);
-/// Agents not heard for this long count as lost while most others are heard. A killed agent
-/// restarts sooner, and if many are silent, this balancer itself is cut off.
+/// Agents not heard for this long are the very last candidates of a lookup: a killed agent restarts
+/// sooner. They are still asked, because silence doesn't show that their server has ended.
 pub const LOST_AFTER: Duration = Duration::from_secs(4);
 /// Number of top-ranked agents that are compared by load for a new flow. More would spread flows
 /// better, but would make lookups longer, which try the agents in the order of their rank.
@@ -127,8 +127,18 @@
     /// Agents that announced themselves and their servers to this balancer, and were heard within
     /// [`OVERDUE_AFTER`].
     pub responsive: Vec<SocketAddr>,
-    /// The others. Those not heard for [`SUSPECT_AFTER`] are last, whatever their service.
+    /// Agents that are heard less well. Those not heard for [`SUSPECT_AFTER`] are last, whatever
+    /// their service.
     pub overdue: Vec<SocketAddr>,
+    /// Agents not heard for [`LOST_AFTER`].
+    pub lost: Vec<SocketAddr>,
+}
+
+impl LookupCandidates {
+    /// The groups of candidates in the order in which they are asked.
+    pub fn groups(&mut self) -> [&mut Vec<SocketAddr>; 3] {
+        [&mut self.responsive, &mut self.overdue, &mut self.lost]
+    }
 }
 
 /// The known agents, by address.
@@ -282,35 +292,28 @@
         agents
     }
 
-    /// Agents that may hold an open flow. Omits agents whose server has ended and, while most
-    /// agents are heard, those not heard for [`LOST_AFTER`].
+    /// Agents that may hold an open flow: all whose server hasn't announced its end.
     pub fn lookup_candidates(
         &self,
         may_serve: impl Fn(&str) -> bool,
         flow: &Flow,
         now: Instant,
     ) -> LookupCandidates {
-        let most_heard = self.most_heard(now);
-        let mut order = self.ranked(flow, |entry| {
-            entry.member.state != State::Gone && !(most_heard && silent(entry, now, LOST_AFTER))
-        });
+        let mut order = self.ranked(flow, |entry| entry.member.state != State::Gone);
         order.sort_by_key(|entry| (suspect(entry, now), !may_serve(&entry.member.service)));
-        let (overdue, responsive): (Vec<_>, Vec<_>) = order.into_iter().partition(|entry| {
+        let mut candidates = LookupCandidates::default();
+        for entry in order {
             let unheard = !entry.heard_directly || entry.member.state == State::Waiting;
-            unheard || silent(entry, now, OVERDUE_AFTER)
-        });
-        let agents = |entries: Vec<&Entry>| entries.iter().map(|e| e.member.agent).collect();
-        LookupCandidates {
-            responsive: agents(responsive),
-            overdue: agents(overdue),
+            let group = if silent(entry, now, LOST_AFTER) {
+                &mut candidates.lost
+            } else if unheard || silent(entry, now, OVERDUE_AFTER) {
+                &mut candidates.overdue
+            } else {
+                &mut candidates.responsive
+            };
+            group.push(entry.member.agent);
         }
-    }
-
-    /// Whether more than two thirds of the agents are heard, so that a silent one is taken to have
-    /// failed itself.
-    fn most_heard(&self, now: Instant) -> bool {
-        let silent = self.entries.values().filter(|entry| suspect(entry, now));
-        silent.count() * 3 < self.entries.len()
+        candidates
     }
 
     fn ranked(&self, flow: &Flow, fits: impl Fn(&Entry) -> bool) -> Vec<&Entry> {
