Take only the client's choice or a taken packet for a flow's owner

What callers saw: an open flow was reset, reason=server_ended, when a server left that didn't hold it.

Cause: the first reported acceptance of an opening packet made its server the owner. Several servers may accept copies of one packet, and the client's choice may pass through another balancer; then the entry stays, and the end of the wrong server resets the flow.

Change: a flow has an owner only once the client acknowledges an acceptance through this balancer, or a server has taken a packet of the open flow. `confirmed` and `chosen_by_client` become one optional owner. Packets of a flow without an owner are looked up, beginning at the agent that accepted it.

`replaced_server` let an acceptance without the client's acknowledgement count as an open flow, which is the fault. Its client now acknowledges the acceptance, and the reset is demanded as before.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::packet::{Flow, Protocol};
-use crate::steering::balancer_flow::{Acceptance, BalancerFlow};
+use crate::steering::balancer_flow::{self, Acceptance, BalancerFlow};
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Forward, Message, Owner};
 use crate::steering::segment::Segment;
@@ -48,10 +48,10 @@
         }
         let attempt = tracked.lookups.saturating_sub(1);
         // Agents that got the opening packet come first.
-        let (tried_agents, agent) = (&tracked.tried_agents, tracked.agent);
+        let (tried_agents, likely) = (&tracked.tried_agents, tracked.likely_agent);
         for candidates in found.groups() {
             candidates
-                .sort_by_key(|candidate| (*candidate != agent, !tried_agents.contains(candidate)));
+                .sort_by_key(|candidate| (*candidate != likely, !tried_agents.contains(candidate)));
             // An unreachable candidate would stop every lookup at the same place, so repeated
             // lookups vary the order.
             let skip = attempt as usize / 2 % candidates.len().max(1);
@@ -99,29 +99,23 @@
             .or_insert_with(|| BalancerFlow::new(owner.agent, now));
         tracked.lookups = 0;
         tracked.lookup_started = None;
+        let first_report = !tracked.accepted;
+        let holder = balancer_flow::Owner {
+            agent: owner.agent,
+            process: owner.process,
+        };
         let Some(sequence) = owner.accepted else {
-            tracked.set_owner(owner.agent, owner.process);
-            tracked.chosen_by_client = true;
-            tracked.acceptances.clear();
+            tracked.set_owner(holder);
             return;
         };
-        if tracked.chosen_by_client {
-            return;
-        }
-        if !tracked.confirmed {
+        if first_report {
             let latency = now.saturating_duration_since(tracked.first_packet_at);
             out.push(Output::Latency(latency));
         }
-        if tracked.acceptances.is_empty() {
-            tracked.set_owner(owner.agent, owner.process);
-        }
-        tracked.acceptances.push(Acceptance {
+        tracked.record_acceptance(Acceptance {
             sequence,
-            agent: owner.agent,
-            process: owner.process,
+            owner: holder,
         });
-        // The client's acknowledgement may have arrived before the report.
-        tracked.select_acceptance(tracked.acknowledged);
     }
 
     /// Handles a packet that no candidate took. Resets a new flow unless another agent may still
@@ -138,7 +132,7 @@
         if segment.opens() {
             // Another agent that got the packet may still report its acceptance.
             let only =
-                |tracked: &BalancerFlow| !tracked.confirmed && tracked.tried_agents.len() <= 1;
+                |tracked: &BalancerFlow| !tracked.accepted && tracked.tried_agents.len() <= 1;
             if self.flows.get(&flow).is_some_and(only) {
                 self.flows.remove(&flow);
                 self.reset(segment, "no_server_accepts", out);
@@ -147,8 +141,7 @@
         }
         if !forward.lookup {
             if let Some(tracked) = self.flows.get_mut(&flow) {
-                tracked.confirmed = false;
-                tracked.chosen_by_client = false;
+                tracked.owner = None;
             }
             self.lookup(segment, forward.packet.clone(), now, out);
             return;
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -120,7 +120,9 @@
         out: &mut Vec<Output>,
     ) {
         let lost = |tracked: &BalancerFlow| {
-            tracked.agent == agent && tracked.process.is_some() && tracked.process != current
+            tracked.owner.is_some_and(|owner| {
+                owner.agent == agent && owner.process.is_some() && owner.process != current
+            })
         };
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| lost(tracked)).collect();
         ended.sort_by_key(|(flow, _)| flow.source);
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -167,14 +167,13 @@
             tracked.last_packet_at = now;
             tracked.acknowledged = segment.acknowledgement;
             tracked.select_acceptance(segment.acknowledgement);
-            let (agent, confirmed) = (tracked.agent, tracked.confirmed);
-            let gone = self
-                .roster
-                .get(&agent)
-                .is_none_or(|entry| entry.member.state == State::Gone);
-            if confirmed && !gone {
+            let owner = tracked.owner.filter(|owner| {
+                let entry = self.roster.get(&owner.agent);
+                entry.is_some_and(|entry| entry.member.state != State::Gone)
+            });
+            if let Some(owner) = owner {
                 let forward = self.forward(&flow, packet, Vec::new());
-                out.push(Output::Send(agent, Message::Forward(forward)));
+                out.push(Output::Send(owner.agent, Message::Forward(forward)));
                 return;
             }
         }
--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -63,7 +63,7 @@
             return;
         };
         if tracked.tried_agents.is_empty() {
-            tracked.agent = first;
+            tracked.likely_agent = first;
         }
         if !tracked.tried_agents.contains(&first) {
             tracked.tried_agents.push(first);
@@ -108,7 +108,7 @@
             let Some(tracked) = self.flows.get_mut(&placement.flow) else {
                 continue;
             };
-            if tracked.confirmed || placement.hedges >= HEDGES_MAX {
+            if tracked.accepted || placement.hedges >= HEDGES_MAX {
                 continue;
             }
             let candidates =
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -5,33 +5,40 @@
 
 use super::roster::Process;
 
+/// The agent whose server holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// Agent that gets the flow's packets.
+    pub agent: SocketAddr,
+    /// The server's process, if the agent reported it.
+    pub process: Option<Process>,
+}
+
 /// A server's acceptance of a flow.
 #[derive(Clone, Copy, Debug)]
 pub struct Acceptance {
     /// Initial sequence number of the server.
     pub sequence: u32,
-    /// The server's agent.
-    pub agent: SocketAddr,
-    /// The server's process, if the agent reported it.
-    pub process: Option<Process>,
+    /// The server that becomes the owner if the client acknowledges the sequence number.
+    pub owner: Owner,
 }
 
 /// A flow whose packets this balancer has forwarded or whose owner was reported to it.
 #[derive(Debug)]
 pub struct BalancerFlow {
-    /// Agent that gets the flow's packets.
-    pub agent: SocketAddr,
-    /// Whether the agent reported that its server holds the flow.
-    pub confirmed: bool,
-    /// Whether the client has acknowledged the acceptance of the agent's server, or that server
-    /// took a packet of the open flow. Later acceptances by other servers are ignored then.
-    pub chosen_by_client: bool,
-    /// The server's process, if the agent reported it.
-    pub process: Option<Process>,
+    /// The owner, once the client has acknowledged its acceptance or its server took a packet of
+    /// the open flow. A reported acceptance alone doesn't make an owner: several servers may accept
+    /// copies of one opening packet, and the client's choice may pass through another balancer.
+    pub owner: Option<Owner>,
+    /// First candidate of a lookup: the first agent that got the opening packet, accepted the flow
+    /// or was the owner.
+    pub likely_agent: SocketAddr,
+    /// Whether any agent has reported that its server accepted or holds the flow.
+    pub accepted: bool,
     /// Last acknowledgement number from the client.
     pub acknowledged: u32,
     /// Reported acceptances, until the client's acknowledgement shows which one it has chosen.
-    pub acceptances: Vec<Acceptance>,
+    acceptances: Vec<Acceptance>,
     /// Agents that this balancer sent the opening packet to.
     pub tried_agents: Vec<SocketAddr>,
     /// When the first packet or report of the flow arrived.
@@ -45,13 +52,12 @@
 }
 
 impl BalancerFlow {
-    /// Creates a flow whose packets go to `agent`, which hasn't confirmed it yet.
-    pub fn new(agent: SocketAddr, now: Instant) -> Self {
+    /// Creates a flow whose owner isn't known.
+    pub fn new(likely_agent: SocketAddr, now: Instant) -> Self {
         Self {
-            agent,
-            confirmed: false,
-            chosen_by_client: false,
-            process: None,
+            owner: None,
+            likely_agent,
+            accepted: false,
             acknowledged: 0,
             acceptances: Vec::new(),
             tried_agents: Vec::new(),
@@ -61,24 +67,34 @@
             last_packet_at: now,
         }
     }
-}
 
-impl BalancerFlow {
+    /// Records a server's acceptance. It is ignored if the owner is known.
+    pub fn record_acceptance(&mut self, acceptance: Acceptance) {
+        if self.owner.is_some() {
+            return;
+        }
+        if !self.accepted {
+            self.likely_agent = acceptance.owner.agent;
+        }
+        self.accepted = true;
+        self.acceptances.push(acceptance);
+        // The client's acknowledgement may have arrived before the report.
+        self.select_acceptance(self.acknowledged);
+    }
+
     /// Sets the owner to the agent whose acceptance the client acknowledges, if it was reported.
     pub fn select_acceptance(&mut self, acknowledgement: u32) {
         let answers = |a: &&Acceptance| a.sequence.wrapping_add(1) == acknowledgement;
         if let Some(acceptance) = self.acceptances.iter().find(answers) {
-            self.agent = acceptance.agent;
-            self.process = acceptance.process;
-            self.chosen_by_client = true;
-            self.acceptances.clear();
+            self.set_owner(acceptance.owner);
         }
     }
 
-    /// Sets the agent that has confirmed the flow as its owner.
-    pub fn set_owner(&mut self, agent: SocketAddr, process: Option<Process>) {
-        self.agent = agent;
-        self.process = process;
-        self.confirmed = true;
+    /// Sets the owner: its server has taken a packet of the open flow, or the client has chosen it.
+    pub fn set_owner(&mut self, owner: Owner) {
+        self.owner = Some(owner);
+        self.likely_agent = owner.agent;
+        self.accepted = true;
+        self.acceptances.clear();
     }
 }
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -176,6 +176,8 @@
     new.sequence = Sequence(2);
     new.started = 2;
     balancer.message(agent_addr(1), owner(old.process()), |_| None, now, &mut out);
+    let chosen = segment(flow(1), Kind::Data, 10);
+    balancer.packet(chosen, vec![0], now, &mut out);
     let announce = |member| {
         Message::Announce(Announce {
             member,
@@ -206,6 +208,7 @@
         now,
         &mut out,
     );
+    balancer.packet(chosen, vec![0], now, &mut out);
     balancer.message(agent_addr(1), announce(newer), |_| None, now, &mut out);
     assert_eq!(resets(&out), 0);
 }
