Ask agents that only peers know, and wait for a peer's digest

What callers could see: an open flow reset, reason=no_server_holds_it, by a balancer that hasn't heard of a new server yet, or has just joined.

Cause: a lookup called itself complete without agents that this balancer doesn't know, although digests of its peers name them, and 0.6 s after its start even if no digest had arrived. Same class of fault: nobody said no.

Change: agents that a digest names and the roster lacks are candidates like others that are heard less well. A balancer calls its lookups complete after a first digest, or after 2 s if no peer sends one. A peer answers the digest of a balancer that has heard no agent at once, so that this takes a round trip.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -14,6 +14,9 @@
 /// server holds the flow. Agents that are missing in the directory have announced themselves by
 /// then.
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
+/// The same without any digest from a peer, which would name agents that this balancer doesn't
+/// know: the peers may not run.
+const DISCOVERY_TIME_ALONE: Duration = Duration::from_secs(2);
 /// Packets that arrive within this time belong to one lookup: a client sends several at once, and
 /// retransmits the first after 200 ms at the earliest.
 const LOOKUP_WINDOW: Duration = Duration::from_millis(100);
@@ -32,6 +35,8 @@
         let routes = &self.routes;
         let may_serve = |service: &str| routes.may_serve(&flow.destination, service);
         let mut found = self.roster.lookup_candidates(may_serve, &flow, now);
+        found.overdue.extend(self.named_agents.keys());
+        let discovery_done = self.discovery_done(now);
         let Some(likeliest) = found.groups().into_iter().flatten().next().copied() else {
             return;
         };
@@ -65,8 +70,6 @@
             .into_iter()
             .flat_map(std::mem::take)
             .collect();
-        let discovery_done =
-            self.directory_read && now.saturating_duration_since(self.started) > DISCOVERY_TIME;
         let complete = discovery_done && candidates.len() <= CANDIDATES_MAX;
         candidates.truncate(CANDIDATES_MAX);
         if new_lookup && tracked.lookups == 1 && tried_agents.is_empty() {
@@ -86,6 +89,15 @@
         out.push(Output::Send(first, Message::Forward(forward)));
     }
 
+    /// Whether this balancer has had the time to learn of all agents.
+    fn discovery_done(&self, now: Instant) -> bool {
+        let time = match self.digest_received || self.peers.is_empty() {
+            true => DISCOVERY_TIME,
+            false => DISCOVERY_TIME_ALONE,
+        };
+        self.directory_read && now.saturating_duration_since(self.started) > time
+    }
+
     pub(super) fn receive_owner(&mut self, owner: Owner, now: Instant, out: &mut Vec<Output>) {
         self.roster.record_contact(&owner.agent, now);
         let flow = Flow {
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -90,6 +90,7 @@
 
     fn merge_member(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let agent = member.agent;
+        self.named_agents.remove(&agent);
         if !self.roster.merge(member, direct, now) {
             return;
         }
@@ -146,6 +147,12 @@
         out: &mut Vec<Output>,
     ) {
         self.peers.insert(from, now);
+        self.digest_received = true;
+        // The sender has just started if it has heard no agent.
+        if digest.agents.is_empty() && !self.roster.is_empty() {
+            let reply = self.digest(now);
+            out.push(Output::Send(from, Message::Digest(reply)));
+        }
         let known_peers: HashSet<SocketAddr> = self.peers.keys().copied().collect();
         for peer in digest.balancers {
             if !known_peers.contains(&peer) {
@@ -155,6 +162,7 @@
         // An agent that only the peer knows announces itself once it has this balancer's address.
         for agent in digest.agents {
             if self.roster.get(&agent).is_none() {
+                self.named_agents.insert(agent, now);
                 let balancers = self.balancers();
                 out.push(Output::Send(agent, Message::Balancers(balancers)));
             }
@@ -164,7 +172,7 @@
         }
     }
 
-    pub(super) fn send_digests(&mut self, now: Instant, out: &mut Vec<Output>) {
+    fn digest(&self, now: Instant) -> Digest {
         let heard = |at: &Instant| now.saturating_duration_since(*at) < Duration::from_secs(3);
         let agents = self
             .roster
@@ -172,12 +180,16 @@
             .filter(|entry| entry.heard_directly && heard(&entry.last_heard))
             .map(|entry| entry.member.agent)
             .collect();
-        let digest = Digest {
+        Digest {
             generation: self.routes.generation(),
             balancers: self.balancers(),
             agents,
             source: self.address,
-        };
+        }
+    }
+
+    pub(super) fn send_digests(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let digest = self.digest(now);
         let mut peers: Vec<_> = self.peers.keys().copied().collect();
         peers.shuffle(&mut self.random);
         for peer in peers.into_iter().take(DIGEST_FANOUT) {
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -37,6 +37,8 @@
 const CANDIDATES_MAX: usize = 64;
 /// Interval between digests to peers.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Agents that only peers know are removed when no digest has named them for this long.
+const NAMED_AGENT_EXPIRY: Duration = Duration::from_secs(4);
 /// Peers not heard for this long are removed.
 const PEER_EXPIRY: Duration = Duration::from_secs(60);
 
@@ -72,6 +74,11 @@
     /// Ordered by `due`, because all of them wait for the same delay.
     placements: VecDeque<PendingPlacement>,
     peers: BTreeMap<SocketAddr, Instant>,
+    /// Agents that aren't in the roster although peers hear them, and when a digest last named
+    /// them. Their servers may hold flows that other balancers have placed.
+    named_agents: BTreeMap<SocketAddr, Instant>,
+    /// Whether a digest of a peer has arrived.
+    digest_received: bool,
     started: Instant,
     last_tick: Instant,
     digest_due: Instant,
@@ -92,6 +99,8 @@
             flows: HashMap::new(),
             placements: VecDeque::new(),
             peers: BTreeMap::new(),
+            named_agents: BTreeMap::new(),
+            digest_received: false,
             started: now,
             last_tick: now,
             digest_due: now,
@@ -239,6 +248,8 @@
             });
             self.peers
                 .retain(|_, heard| now.saturating_duration_since(*heard) < PEER_EXPIRY);
+            self.named_agents
+                .retain(|_, named| now.saturating_duration_since(*named) < NAMED_AGENT_EXPIRY);
         }
     }
 
