Refuse a flow only on its first opening packet

What callers could see: an open flow reset, reason=no_server_accepts.

Cause: a balancer that had seen only a later copy of an opening packet, or one that had waited while the balancer was suspended, refused the flow if no agent took that copy. Another balancer may have placed an earlier copy, and the flow may be open.

Change: a flow is refused only if this balancer got the opening packet as first sent, not out of a backlog, and no copy can exist yet, which is 200 ms. After that the client's own timeout ends the attempt.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -142,10 +142,11 @@
     ) {
         let flow = segment.flow;
         if segment.opens() {
-            // Another agent that got the packet may still report its acceptance.
-            let only =
-                |tracked: &BalancerFlow| !tracked.accepted && tracked.tried_agents.len() <= 1;
-            if self.flows.get(&flow).is_some_and(only) {
+            if self
+                .flows
+                .get(&flow)
+                .is_some_and(|tracked| tracked.refusable(now))
+            {
                 self.flows.remove(&flow);
                 self.reset(segment, "no_server_accepts", out);
             }
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -27,6 +27,8 @@
 pub const TICK: Duration = Duration::from_millis(20);
 /// A longer time between two ticks means that the process was suspended.
 const PAUSE_MIN: Duration = Duration::from_millis(400);
+/// Time to read what has arrived during a suspension.
+const BACKLOG_TIME: Duration = Duration::from_millis(200);
 /// Interval between comparisons of the servers of each service: half the announcement interval.
 const OUTLIER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between removals of expired agents, flows and peers.
@@ -81,6 +83,8 @@
     digest_received: bool,
     started: Instant,
     last_tick: Instant,
+    /// When the process last went on after it had been suspended.
+    resumed_at: Option<Instant>,
     digest_due: Instant,
     outlier_check_due: Instant,
     expire_due: Instant,
@@ -103,6 +107,7 @@
             digest_received: false,
             started: now,
             last_tick: now,
+            resumed_at: None,
             digest_due: now,
             outlier_check_due: now,
             expire_due: now,
@@ -225,6 +230,7 @@
             for heard in self.peers.values_mut() {
                 *heard += pause;
             }
+            self.resumed_at = Some(now);
             out.push(log_event(
                 Topic::Resumed,
                 format!("pause_ms={}", pause.as_millis()),
@@ -253,6 +259,15 @@
         }
     }
 
+    /// Whether packets may have waited in the receive queue while the process was suspended.
+    fn reads_backlog(&self, now: Instant) -> bool {
+        let suspended = now.saturating_duration_since(self.last_tick) > PAUSE_MIN;
+        suspended
+            || self
+                .resumed_at
+                .is_some_and(|at| now.saturating_duration_since(at) < BACKLOG_TIME)
+    }
+
     /// Drops a packet to an address without a route. It sends no reset, which could end a flow of a
     /// newer configuration that this balancer hasn't received yet.
     fn drop_unroutable(&mut self, segment: Segment, out: &mut Vec<Output>) {
--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -38,12 +38,16 @@
         out: &mut Vec<Output>,
     ) {
         let flow = segment.flow;
+        let backlog = self.reads_backlog(now);
         let candidates = self.roster.placement_candidates(&service, &flow, now);
         let tracked = self
             .flows
             .entry(flow)
             .or_insert_with(|| BalancerFlow::new(self.address, now));
         tracked.last_packet_at = now;
+        if segment.acknowledgement == 0 && !backlog {
+            tracked.opened_at = Some(now);
+        }
         // A retransmission goes to an agent that hasn't got the packet yet: the others may be
         // unreachable.
         let untried = |agent: &&SocketAddr| !tracked.tried_agents.contains(agent);
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -1,10 +1,13 @@
 //! State of a flow at a balancer.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::roster::Process;
 
+/// Time before a client sends the first copy of its opening packet.
+const FIRST_COPY_AFTER: Duration = Duration::from_millis(200);
+
 /// The agent whose server holds a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Owner {
@@ -39,6 +42,8 @@
     pub acknowledged: u32,
     /// Reported acceptances, until the client's acknowledgement shows which one it has chosen.
     acceptances: Vec<Acceptance>,
+    /// When this balancer got the opening packet as its client first sent it, and not a later copy.
+    pub opened_at: Option<Instant>,
     /// Agents that this balancer sent the opening packet to.
     pub tried_agents: Vec<SocketAddr>,
     /// When the first packet or report of the flow arrived.
@@ -60,6 +65,7 @@
             accepted: false,
             acknowledged: 0,
             acceptances: Vec::new(),
+            opened_at: None,
             tried_agents: Vec::new(),
             first_packet_at: now,
             lookups: 0,
@@ -68,6 +74,14 @@
         }
     }
 
+    /// Whether no server can have accepted the flow once the agent that got its opening packet
+    /// reports that none took it: no other agent got the packet from here, and other balancers
+    /// have no copy of it.
+    pub fn refusable(&self, now: Instant) -> bool {
+        let only_copy = |at| now.saturating_duration_since(at) < FIRST_COPY_AFTER;
+        !self.accepted && self.tried_agents.len() <= 1 && self.opened_at.is_some_and(only_copy)
+    }
+
     /// Records a server's acceptance. It is ignored if the owner is known.
     pub fn record_acceptance(&mut self, acceptance: Acceptance) {
         if self.owner.is_some() {
--- a/tests/steering/resets.rs
+++ b/tests/steering/resets.rs
@@ -113,3 +113,20 @@
     balancer.message(agent_addr(1), message, decode_as(copy), now, &mut out);
     assert_eq!(resets(&out), 0);
 }
+
+// Guards against the refusal of a flow that is open already: the opening packet may have waited
+// while the balancer was suspended, and its copies may have gone to other balancers.
+#[test]
+fn backlog_not_refused() {
+    let start = Instant::now();
+    let mut balancer = balancer(1, start);
+    let now = start + Duration::from_secs(1);
+    let mut out = Vec::new();
+    let opening = segment(flow(1), Kind::Open, 0);
+    balancer.packet(opening, vec![1], now, &mut out);
+    let placed = forwards(&out).remove(0).1;
+    out.clear();
+    let message = Message::Exhausted(placed);
+    balancer.message(agent_addr(1), message, decode_as(opening), now, &mut out);
+    assert_eq!(resets(&out), 0);
+}
