--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -3,10 +3,9 @@
 use std::time::{Duration, Instant};
 
 use crate::packet::{Flow, Protocol};
-use crate::steering::balancer_flow::{Acceptance, BalancerFlow};
+use crate::steering::balancer_flow::{self, Acceptance, BalancerFlow};
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Forward, Message, Owner};
-use crate::steering::roster::LookupCandidates;
 use crate::steering::segment::Segment;
 
 use super::{log_event, Balancer, Output, CANDIDATES_MAX};
@@ -15,6 +14,9 @@
 /// server holds the flow. Agents that are missing in the directory have announced themselves by
 /// then.
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
+/// The same without any digest from a peer, which would name agents that this balancer doesn't
+/// know: the peers may not run.
+const DISCOVERY_TIME_ALONE: Duration = Duration::from_secs(2);
 /// Packets that arrive within this time belong to one lookup: a client sends several at once, and
 /// retransmits the first after 200 ms at the earliest.
 const LOOKUP_WINDOW: Duration = Duration::from_millis(100);
@@ -32,11 +34,10 @@
         let flow = segment.flow;
         let routes = &self.routes;
         let may_serve = |service: &str| routes.may_serve(&flow.destination, service);
-        let LookupCandidates {
-            mut responsive,
-            mut overdue,
-        } = self.roster.lookup_candidates(may_serve, &flow, now);
-        let Some(likeliest) = responsive.first().or(overdue.first()).copied() else {
+        let mut found = self.roster.lookup_candidates(may_serve, &flow, now);
+        found.overdue.extend(self.named_agents.keys());
+        let discovery_done = self.discovery_done(now);
+        let Some(likeliest) = found.groups().into_iter().flatten().next().copied() else {
             return;
         };
         let tracked = self
@@ -52,10 +53,10 @@
         }
         let attempt = tracked.lookups.saturating_sub(1);
         // Agents that got the opening packet come first.
-        let (tried_agents, agent) = (&tracked.tried_agents, tracked.agent);
-        for candidates in [&mut responsive, &mut overdue] {
+        let (tried_agents, likely) = (&tracked.tried_agents, tracked.likely_agent);
+        for candidates in found.groups() {
             candidates
-                .sort_by_key(|candidate| (*candidate != agent, !tried_agents.contains(candidate)));
+                .sort_by_key(|candidate| (*candidate != likely, !tried_agents.contains(candidate)));
             // An unreachable candidate would stop every lookup at the same place, so repeated
             // lookups vary the order.
             let skip = attempt as usize / 2 % candidates.len().max(1);
@@ -64,10 +65,11 @@
                 candidates.reverse();
             }
         }
-        let mut candidates = responsive;
-        candidates.append(&mut overdue);
-        let discovery_done =
-            self.directory_read && now.saturating_duration_since(self.started) > DISCOVERY_TIME;
+        let mut candidates: Vec<_> = found
+            .groups()
+            .into_iter()
+            .flat_map(std::mem::take)
+            .collect();
         let complete = discovery_done && candidates.len() <= CANDIDATES_MAX;
         candidates.truncate(CANDIDATES_MAX);
         if new_lookup && tracked.lookups == 1 && tried_agents.is_empty() {
@@ -87,6 +89,15 @@
         out.push(Output::Send(first, Message::Forward(forward)));
     }
 
+    /// Whether this balancer has had the time to learn of all agents.
+    fn discovery_done(&self, now: Instant) -> bool {
+        let time = match self.digest_received || self.peers.is_empty() {
+            true => DISCOVERY_TIME,
+            false => DISCOVERY_TIME_ALONE,
+        };
+        self.directory_read && now.saturating_duration_since(self.started) > time
+    }
+
     pub(super) fn receive_owner(&mut self, owner: Owner, now: Instant, out: &mut Vec<Output>) {
         self.roster.record_contact(&owner.agent, now);
         let flow = Flow {
@@ -100,29 +111,23 @@
             .or_insert_with(|| BalancerFlow::new(owner.agent, now));
         tracked.lookups = 0;
         tracked.lookup_started = None;
+        let first_report = !tracked.accepted;
+        let holder = balancer_flow::Owner {
+            agent: owner.agent,
+            process: owner.process,
+        };
         let Some(sequence) = owner.accepted else {
-            tracked.set_owner(owner.agent, owner.process);
-            tracked.chosen_by_client = true;
-            tracked.acceptances.clear();
+            tracked.set_owner(holder);
             return;
         };
-        if tracked.chosen_by_client {
-            return;
-        }
-        if !tracked.confirmed {
+        if first_report {
             let latency = now.saturating_duration_since(tracked.first_packet_at);
             out.push(Output::Latency(latency));
         }
-        if tracked.acceptances.is_empty() {
-            tracked.set_owner(owner.agent, owner.process);
-        }
-        tracked.acceptances.push(Acceptance {
+        tracked.record_acceptance(Acceptance {
             sequence,
-            agent: owner.agent,
-            process: owner.process,
+            owner: holder,
         });
-        // The client's acknowledgement may have arrived before the report.
-        tracked.select_acceptance(tracked.acknowledged);
     }
 
     /// Handles a packet that no candidate took. Resets a new flow unless another agent may still
@@ -137,10 +142,11 @@
     ) {
         let flow = segment.flow;
         if segment.opens() {
-            // Another agent that got the packet may still report its acceptance.
-            let only =
-                |tracked: &BalancerFlow| !tracked.confirmed && tracked.tried_agents.len() <= 1;
-            if self.flows.get(&flow).is_some_and(only) {
+            if self
+                .flows
+                .get(&flow)
+                .is_some_and(|tracked| tracked.refusable(now))
+            {
                 self.flows.remove(&flow);
                 self.reset(segment, "no_server_accepts", out);
             }
@@ -148,8 +154,7 @@
         }
         if !forward.lookup {
             if let Some(tracked) = self.flows.get_mut(&flow) {
-                tracked.confirmed = false;
-                tracked.chosen_by_client = false;
+                tracked.owner = None;
             }
             self.lookup(segment, forward.packet.clone(), now, out);
             return;
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -27,6 +27,8 @@
 pub const TICK: Duration = Duration::from_millis(20);
 /// A longer time between two ticks means that the process was suspended.
 const PAUSE_MIN: Duration = Duration::from_millis(400);
+/// Time to read what has arrived during a suspension.
+const BACKLOG_TIME: Duration = Duration::from_millis(200);
 /// Interval between comparisons of the servers of each service: half the announcement interval.
 const OUTLIER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between removals of expired agents, flows and peers.
@@ -37,6 +39,8 @@
 const CANDIDATES_MAX: usize = 64;
 /// Interval between digests to peers.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Agents that only peers know are removed when no digest has named them for this long.
+const NAMED_AGENT_EXPIRY: Duration = Duration::from_secs(4);
 /// Peers not heard for this long are removed.
 const PEER_EXPIRY: Duration = Duration::from_secs(60);
 
@@ -72,8 +76,15 @@
     /// Ordered by `due`, because all of them wait for the same delay.
     placements: VecDeque<PendingPlacement>,
     peers: BTreeMap<SocketAddr, Instant>,
+    /// Agents that aren't in the roster although peers hear them, and when a digest last named
+    /// them. Their servers may hold flows that other balancers have placed.
+    named_agents: BTreeMap<SocketAddr, Instant>,
+    /// Whether a digest of a peer has arrived.
+    digest_received: bool,
     started: Instant,
     last_tick: Instant,
+    /// When the process last went on after it had been suspended.
+    resumed_at: Option<Instant>,
     digest_due: Instant,
     outlier_check_due: Instant,
     expire_due: Instant,
@@ -92,8 +103,11 @@
             flows: HashMap::new(),
             placements: VecDeque::new(),
             peers: BTreeMap::new(),
+            named_agents: BTreeMap::new(),
+            digest_received: false,
             started: now,
             last_tick: now,
+            resumed_at: None,
             digest_due: now,
             outlier_check_due: now,
             expire_due: now,
@@ -167,14 +181,13 @@
             tracked.last_packet_at = now;
             tracked.acknowledged = segment.acknowledgement;
             tracked.select_acceptance(segment.acknowledgement);
-            let (agent, confirmed) = (tracked.agent, tracked.confirmed);
-            let gone = self
-                .roster
-                .get(&agent)
-                .is_none_or(|entry| entry.member.state == State::Gone);
-            if confirmed && !gone {
+            let owner = tracked.owner.filter(|owner| {
+                let entry = self.roster.get(&owner.agent);
+                entry.is_some_and(|entry| entry.member.state != State::Gone)
+            });
+            if let Some(owner) = owner {
                 let forward = self.forward(&flow, packet, Vec::new());
-                out.push(Output::Send(agent, Message::Forward(forward)));
+                out.push(Output::Send(owner.agent, Message::Forward(forward)));
                 return;
             }
         }
@@ -217,6 +230,7 @@
             for heard in self.peers.values_mut() {
                 *heard += pause;
             }
+            self.resumed_at = Some(now);
             out.push(log_event(
                 Topic::Resumed,
                 format!("pause_ms={}", pause.as_millis()),
@@ -240,9 +254,20 @@
             });
             self.peers
                 .retain(|_, heard| now.saturating_duration_since(*heard) < PEER_EXPIRY);
+            self.named_agents
+                .retain(|_, named| now.saturating_duration_since(*named) < NAMED_AGENT_EXPIRY);
         }
     }
 
+    /// Whether packets may have waited in the receive queue while the process was suspended.
+    fn reads_backlog(&self, now: Instant) -> bool {
+        let suspended = now.saturating_duration_since(self.last_tick) > PAUSE_MIN;
+        suspended
+            || self
+                .resumed_at
+                .is_some_and(|at| now.saturating_duration_since(at) < BACKLOG_TIME)
+    }
+
     /// Drops a packet to an address without a route. It sends no reset, which could end a flow of a
     /// newer configuration that this balancer hasn't received yet.
     fn drop_unroutable(&mut self, segment: Segment, out: &mut Vec<Output>) {
--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -38,12 +38,16 @@
         out: &mut Vec<Output>,
     ) {
         let flow = segment.flow;
+        let backlog = self.reads_backlog(now);
         let candidates = self.roster.placement_candidates(&service, &flow, now);
         let tracked = self
             .flows
             .entry(flow)
             .or_insert_with(|| BalancerFlow::new(self.address, now));
         tracked.last_packet_at = now;
+        if segment.acknowledgement == 0 && !backlog {
+            tracked.opened_at = Some(now);
+        }
         // A retransmission goes to an agent that hasn't got the packet yet: the others may be
         // unreachable.
         let untried = |agent: &&SocketAddr| !tracked.tried_agents.contains(agent);
@@ -63,7 +67,7 @@
             return;
         };
         if tracked.tried_agents.is_empty() {
-            tracked.agent = first;
+            tracked.likely_agent = first;
         }
         if !tracked.tried_agents.contains(&first) {
             tracked.tried_agents.push(first);
@@ -108,7 +112,7 @@
             let Some(tracked) = self.flows.get_mut(&placement.flow) else {
                 continue;
             };
-            if tracked.confirmed || placement.hedges >= HEDGES_MAX {
+            if tracked.accepted || placement.hedges >= HEDGES_MAX {
                 continue;
             }
             let candidates =
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -92,7 +92,8 @@
     }
 }
 
-// Guards against lookups that stop at a host that is lost for good.
+// Guards against lookups that stop at a host that is lost for good before they have asked all
+// others.
 #[test]
 fn gone_not_searched() {
     let now = Instant::now();
@@ -111,10 +112,11 @@
     for index in 2..=6 {
         roster.record_contact(&agent_addr(index), later);
     }
-    assert_eq!(
-        candidate_count(roster.lookup_candidates(likely, &flow(1), later)),
-        5
-    );
+    let candidates = roster.lookup_candidates(likely, &flow(1), later);
+    assert_eq!(candidates.responsive.len(), 5);
+    assert!(!candidates.responsive.contains(&agent_addr(1)));
+    assert!(candidates.overdue.is_empty());
+    assert_eq!(candidates.lost, [agent_addr(1)]);
 }
 
 // Guards against a balancer that is cut off and treats all agents as lost.
@@ -174,6 +176,8 @@
     new.sequence = Sequence(2);
     new.started = 2;
     balancer.message(agent_addr(1), owner(old.process()), |_| None, now, &mut out);
+    let chosen = segment(flow(1), Kind::Data, 10);
+    balancer.packet(chosen, vec![0], now, &mut out);
     let announce = |member| {
         Message::Announce(Announce {
             member,
@@ -204,6 +208,7 @@
         now,
         &mut out,
     );
+    balancer.packet(chosen, vec![0], now, &mut out);
     balancer.message(agent_addr(1), announce(newer), |_| None, now, &mut out);
     assert_eq!(resets(&out), 0);
 }
