Log the evidence of each reset

An operator whose client saw a reset on an open flow found a line with the flow, the reason and the number of known agents only.

No decision changes: the balancer's flow keeps the number of agents that its last lookup asked, and what showed its owner and when.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use crate::steering::agent_flow::AgentFlow;
-use crate::steering::log_event::Topic;
+use crate::steering::log_event::{Reason, Topic};
 use crate::steering::message::{Forward, Message};
 use crate::steering::roster::State;
 use crate::steering::segment::{Kind, Segment};
 
-use super::{log_event, owner, Agent, Output, PENDING_MAX};
+use super::{log_event, owner, Agent, EndedFlow, Output, PENDING_MAX};
 
 /// How often the opening packet of a flow is forwarded by agents whose servers have all slots in
 /// use. After that, an agent forwards it only if its server's queue is full.
@@ -162,9 +162,15 @@
             return;
         };
         let tracked = self.flows.remove(&segment.flow);
-        if tracked.is_some_and(|tracked| tracked.open) && !segment.opens() {
+        if let Some(tracked) = tracked.filter(|tracked| tracked.open && !segment.opens()) {
             // The flow was open at this server, so no other server can hold it.
-            self.reset(segment.flow, segment.acknowledgement, "server_lost_it", out);
+            let lost = EndedFlow {
+                flow: segment.flow,
+                acknowledged: segment.acknowledgement,
+                process: self.member.process(),
+                answered: tracked.answered,
+            };
+            self.reset(lost, Reason::ServerLostIt, self.last_tick, out);
             return;
         }
         let forward = Forward {
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -11,10 +11,10 @@
 use crate::id::{Incarnation, Sequence, Slots};
 use crate::packet::Flow;
 use crate::steering::agent_flow::AgentFlow;
-use crate::steering::log_event::{LogEvent, Topic};
+use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Message, Owner};
 use crate::steering::response_stats::ResponseMeter;
-use crate::steering::roster::{Member, State};
+use crate::steering::roster::{Member, Process, State};
 use crate::steering::segment::{Kind, Segment};
 use crate::steering::snapshot::Snapshot;
 
@@ -317,15 +317,40 @@
         }
     }
 
-    fn reset(&self, flow: Flow, sequence: u32, reason: &str, out: &mut Vec<Output>) {
-        out.push(log_event(
-            Topic::Reset,
-            format!("flow={flow} reason={reason}"),
-        ));
-        out.push(Output::Reset { flow, sequence });
+    fn reset(&self, ended: EndedFlow, reason: Reason, now: Instant, out: &mut Vec<Output>) {
+        let heard = self
+            .last_heartbeat
+            .map(|at| now.saturating_duration_since(at).as_millis().to_string());
+        let evidence = format!(
+            "process={} heartbeat_ms={} known_from={}",
+            ended.process,
+            heard.as_deref().unwrap_or("none"),
+            if ended.answered {
+                "packets"
+            } else {
+                "snapshot"
+            }
+        );
+        out.push(Output::Log(LogEvent::reset(ended.flow, reason, evidence)));
+        out.push(Output::Reset {
+            flow: ended.flow,
+            sequence: ended.acknowledged,
+        });
     }
 }
 
+/// A flow that has ended with its server process.
+struct EndedFlow {
+    flow: Flow,
+    /// Last acknowledgement number from the client.
+    acknowledged: u32,
+    /// The process that held the flow.
+    process: Process,
+    /// Whether the server has sent packets of the flow through this run of the agent. Otherwise the
+    /// flow is known from a snapshot only.
+    answered: bool,
+}
+
 fn owner(flow: Flow, member: &Member, accepted: Option<u32>) -> Owner {
     Owner {
         client: flow.source,
--- a/src/steering/agent/persistence.rs
+++ b/src/steering/agent/persistence.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use crate::steering::agent_flow::AgentFlow;
-use crate::steering::log_event::Topic;
+use crate::steering::log_event::{Reason, Topic};
 use crate::steering::snapshot::{SavedFlow, Snapshot};
 
-use super::{log_event, Agent, Output};
+use super::{log_event, Agent, EndedFlow, Output};
 
 /// Interval between checks whether a snapshot is due.
 pub(super) const SAVE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -50,7 +50,13 @@
         for saved in previous.flows {
             let flow = saved.flow();
             if !alive {
-                self.reset(flow, saved.acknowledged, "server_ended_earlier", out);
+                let ended = EndedFlow {
+                    flow,
+                    acknowledged: saved.acknowledged,
+                    process: previous.process,
+                    answered: false,
+                };
+                self.reset(ended, Reason::ServerEndedEarlier, now, out);
                 continue;
             }
             let tracked = self
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -6,11 +6,13 @@
 use crate::id::Sequence;
 use crate::packet::Flow;
 use crate::steering::agent_flow::AgentFlow;
-use crate::steering::log_event::Topic;
+use crate::steering::log_event::{Reason, Topic};
 use crate::steering::message::{Announce, Message, LIST_WANTED};
 use crate::steering::roster::{Member, State};
 
-use super::{log_event, owner, Agent, Heartbeat, HeartbeatOutcome, Output, BALANCER_RENEWAL};
+use super::{
+    log_event, owner, Agent, EndedFlow, Heartbeat, HeartbeatOutcome, Output, BALANCER_RENEWAL,
+};
 
 /// Interval between announcements to each balancer.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
@@ -43,7 +45,7 @@
             let last_heartbeat = self.last_heartbeat.unwrap_or(now);
             let keep =
                 |tracked: &AgentFlow| tracked.answered && tracked.first_packet_at > last_heartbeat;
-            self.end_server_flows("replaced", keep, out);
+            self.end_server_flows(Reason::Replaced, keep, now, out);
         }
         self.server_sequence = heartbeat.sequence;
         self.last_heartbeat = Some(now);
@@ -71,7 +73,7 @@
             ));
             return;
         }
-        self.end_server_flows("left", |_| false, out);
+        self.end_server_flows(Reason::Left, |_| false, now, out);
         self.set_state(State::Gone, "left", now, out);
     }
 
@@ -151,8 +153,9 @@
     /// the open ones.
     fn end_server_flows(
         &mut self,
-        cause: &str,
+        reason: Reason,
         keep: impl Fn(&AgentFlow) -> bool,
+        now: Instant,
         out: &mut Vec<Output>,
     ) {
         self.saved.clear();
@@ -160,10 +163,16 @@
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| !keep(tracked)).collect();
         ended.sort_by_key(|(flow, _)| flow.source);
         for (flow, tracked) in ended
-            .iter()
+            .into_iter()
             .filter(|(_, tracked)| tracked.accepts_requests())
         {
-            self.reset(*flow, tracked.acknowledged, cause, out);
+            let ended = EndedFlow {
+                flow,
+                acknowledged: tracked.acknowledged,
+                process: self.member.process(),
+                answered: tracked.answered,
+            };
+            self.reset(ended, reason, now, out);
         }
     }
 
--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use crate::packet::{Flow, Protocol};
-use crate::steering::balancer_flow::{self, Acceptance, BalancerFlow};
-use crate::steering::log_event::Topic;
+use crate::steering::balancer_flow::{self, Acceptance, BalancerFlow, Proof};
+use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Forward, Message, Owner};
 use crate::steering::segment::Segment;
 
@@ -72,6 +72,7 @@
             .collect();
         let complete = discovery_done && candidates.len() <= CANDIDATES_MAX;
         candidates.truncate(CANDIDATES_MAX);
+        tracked.asked = candidates.len();
         if new_lookup && tracked.lookups == 1 && tried_agents.is_empty() {
             out.push(log_event(
                 Topic::Lookup,
@@ -115,6 +116,11 @@
         let holder = balancer_flow::Owner {
             agent: owner.agent,
             process: owner.process,
+            proof: match owner.accepted {
+                Some(_) => Proof::Choice,
+                None => Proof::TakenPacket,
+            },
+            reported_at: now,
         };
         let Some(sequence) = owner.accepted else {
             tracked.set_owner(holder);
@@ -147,8 +153,9 @@
                 .get(&flow)
                 .is_some_and(|tracked| tracked.refusable(now))
             {
-                self.flows.remove(&flow);
-                self.reset(segment, "no_server_accepts", out);
+                let tracked = self.flows.remove(&flow);
+                let evidence = self.refusal_evidence(&segment, tracked.as_ref(), now);
+                self.reset(segment, Reason::NoServerAccepts, &evidence, out);
             }
             return;
         }
@@ -160,20 +167,16 @@
             return;
         }
         if forward.complete {
-            self.flows.remove(&flow);
-            self.reset(segment, "no_server_holds_it", out);
+            let tracked = self.flows.remove(&flow);
+            let evidence = self.lookup_evidence(tracked.as_ref(), now);
+            self.reset(segment, Reason::NoServerHoldsIt, &evidence, out);
         }
     }
 
-    fn reset(&self, segment: Segment, reason: &str, out: &mut Vec<Output>) {
-        out.push(log_event(
-            Topic::Reset,
-            format!(
-                "flow={} reason={reason} agents={}",
-                segment.flow,
-                self.roster.len()
-            ),
-        ));
+    fn reset(&self, segment: Segment, reason: Reason, evidence: &str, out: &mut Vec<Output>) {
+        let evidence = format!("agents={} {evidence}", self.roster.len());
+        let event = LogEvent::reset(segment.flow, reason, evidence);
+        out.push(Output::Log(event));
         out.push(Output::Reset {
             flow: segment.flow,
             sequence: segment.acknowledgement,
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -7,10 +7,11 @@
 use rand::seq::SliceRandom;
 
 use crate::steering::balancer_flow::BalancerFlow;
-use crate::steering::log_event::Topic;
+use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
-use crate::steering::roster::{Entry, Member, Process, State};
+use crate::steering::roster::{Entry, Member, State};
 
+use super::evidence::Change;
 use super::{log_event, Balancer, Output};
 
 /// Number of random peers that receive each digest.
@@ -91,6 +92,7 @@
     fn merge_member(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let agent = member.agent;
         self.named_agents.remove(&agent);
+        let before = self.running_process(&agent);
         if !self.roster.merge(member, direct, now) {
             return;
         }
@@ -108,30 +110,32 @@
         let ended = member.state == State::Gone;
         let process = member.process();
         if !member.server.is_empty() {
-            self.reset_ended_flows(agent, (!ended).then_some(process), out);
+            let change = Change {
+                agent,
+                before,
+                after: (!ended).then_some(process),
+                state: member.state,
+                direct,
+            };
+            self.reset_ended_flows(&change, now, out);
         }
     }
 
     /// Resets the flows at former server processes of an agent, so that their clients don't use
-    /// them for further requests. `current` is the process that runs now, if any.
-    fn reset_ended_flows(
-        &mut self,
-        agent: SocketAddr,
-        current: Option<Process>,
-        out: &mut Vec<Output>,
-    ) {
+    /// them for further requests.
+    fn reset_ended_flows(&mut self, change: &Change, now: Instant, out: &mut Vec<Output>) {
         let lost = |tracked: &BalancerFlow| {
             tracked.owner.is_some_and(|owner| {
-                owner.agent == agent && owner.process.is_some() && owner.process != current
+                let other = owner.process.is_some() && owner.process != change.after;
+                owner.agent == change.agent && other
             })
         };
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| lost(tracked)).collect();
         ended.sort_by_key(|(flow, _)| flow.source);
         for (flow, tracked) in ended {
-            out.push(log_event(
-                Topic::Reset,
-                format!("flow={flow} reason=server_ended agent={agent}"),
-            ));
+            let evidence = change.evidence(&tracked, now);
+            let event = LogEvent::reset(flow, Reason::ServerEnded, evidence);
+            out.push(Output::Log(event));
             out.push(Output::Reset {
                 flow,
                 sequence: tracked.acknowledged,
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! The balancer: chooses the agent for each client packet.
 
+mod evidence;
 mod lookup;
 mod membership;
 mod placement;
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use strum::Display;
+
 use super::roster::Process;
 
 /// Time before a client sends the first copy of its opening packet.
@@ -15,6 +17,20 @@
     pub agent: SocketAddr,
     /// The server's process, if the agent reported it.
     pub process: Option<Process>,
+    /// What showed that the server holds the flow.
+    pub proof: Proof,
+    /// When the agent's report arrived.
+    pub reported_at: Instant,
+}
+
+/// What shows that a server holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Proof {
+    /// The client acknowledged the server's acceptance.
+    Choice,
+    /// The server took a packet of the open flow.
+    TakenPacket,
 }
 
 /// A server's acceptance of a flow.
@@ -50,6 +66,8 @@
     pub first_packet_at: Instant,
     /// Number of lookups begun since the last report of the owner.
     pub lookups: u32,
+    /// Number of agents that the last lookup asks.
+    pub asked: usize,
     /// When the last lookup began.
     pub lookup_started: Option<Instant>,
     /// When the last packet of the flow arrived.
@@ -69,6 +87,7 @@
             tried_agents: Vec::new(),
             first_packet_at: now,
             lookups: 0,
+            asked: 0,
             lookup_started: None,
             last_packet_at: now,
         }
--- a/src/steering/log_event.rs
+++ b/src/steering/log_event.rs
@@ -4,6 +4,8 @@
 
 use strum::{Display, IntoStaticStr};
 
+use crate::packet::Flow;
+
 /// A line of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogEvent {
@@ -11,6 +13,28 @@
     pub topic: Topic,
     /// Identity, inputs and outcome as `key=value` pairs.
     pub text: String,
+    /// Reason of a reset, which is also in the text; none in other events.
+    pub reason: Option<Reason>,
+}
+
+/// Why a reset was sent to the client of a flow; also the `reason` label of the counter of resets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// No server takes the new flow.
+    NoServerAccepts,
+    /// A lookup has asked all agents for the open flow.
+    NoServerHoldsIt,
+    /// A balancer was told of another process, or of the end, of the server that holds the flow.
+    ServerEnded,
+    /// The agent got a heartbeat of another process of its server.
+    Replaced,
+    /// The server announced its end to its agent.
+    Left,
+    /// The server returned a packet of a flow that was open there.
+    ServerLostIt,
+    /// The process whose flows an earlier run of the agent saved no longer runs.
+    ServerEndedEarlier,
 }
 
 /// Kind of a log event.
@@ -68,7 +92,20 @@
 impl LogEvent {
     /// Creates an event; `text` consists of `key=value` pairs.
     pub fn new(topic: Topic, text: String) -> Self {
-        Self { topic, text }
+        Self {
+            topic,
+            text,
+            reason: None,
+        }
+    }
+
+    /// Creates the event of a reset; `evidence` consists of `key=value` pairs.
+    pub fn reset(flow: Flow, reason: Reason, evidence: impl fmt::Display) -> Self {
+        Self {
+            topic: Topic::Reset,
+            text: format!("flow={flow} reason={reason} {evidence}"),
+            reason: Some(reason),
+        }
     }
 }
 
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -1,6 +1,7 @@
 //! The agents that a balancer knows, and the order in which it tries them for a flow.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Process(pub u64);
 
+impl fmt::Display for Process {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// An agent as a balancer sees it.
 #[derive(Clone, Debug)]
 pub struct Entry {
