Show new flows at a draining server on a used port

Callers could see a new flow at a server that has drained for more than 3 s. An agent admits an opening packet, whatever its server's state, if it has an entry for the flow, and entries stay for 65 s after the last packet, also of flows that have finished.

The test opens and finishes a flow, drains the server, and opens a flow with the same addresses and ports 4 s later: it is delivered.

The check stays as it is: that an agent decides alone for its server (PROMISES.md, row 6) doesn't depend on how other hosts run.

--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -261,6 +261,26 @@
     assert_eq!(delivered(&out), None);
 }
 
+// Guards against new flows at a draining server: an entry that is left of an earlier flow with the
+// same addresses and ports doesn't admit an opening packet.
+#[test]
+fn draining_refuses_reused_port() {
+    let start = Instant::now();
+    let mut agent = ready_agent(start);
+    let open = segment(flow(1), Kind::Open, 0);
+    let portal = || forward("portal", vec![agent_addr(2)], false);
+    assert!(delivered(&forward_to_agent(&mut agent, open, portal(), start)).is_some());
+    for kind in [Kind::Accept, Kind::Data, Kind::Finish] {
+        let sent = segment(flow(1), kind, 5);
+        agent.server_packet(sent, vec![1], start, &mut Vec::new());
+    }
+    let draining = heartbeat("a", 1, 2, State::Draining);
+    agent.heartbeat(draining, start, &mut Vec::new());
+    let later = start + Duration::from_secs(4);
+    let out = forward_to_agent(&mut agent, open, portal(), later);
+    assert_eq!(delivered(&out), None);
+}
+
 // Guards against a draining server that no longer gets the packets of its open flows.
 #[test]
 fn draining_keeps_flows() {
