Admit opening packets only while the server is ready

What callers could see: a new flow at a server that had been draining for 3 s and more, and with it an end soon after.

Cause: an agent admitted any opening packet of a flow that it tracks, whatever its server's state. Entries stay for 65 s, so a port that a client uses again gets in, and so does a copy that waited at a suspended process.

Evidence: draining_refuses_reused_port fails before and passes after; all 48 tests of steering pass.

Cost: a client whose acceptance was lost just before the drain is placed at another server by its next copy.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -47,8 +47,9 @@
         let flow = segment.flow;
         if segment.opens() {
             let tracked = self.flows.contains_key(&flow);
-            let wrong = forward.service != self.member.service;
-            if wrong || (!tracked && self.member.state != State::Ready) {
+            // Also if the flow is tracked: the entry may be of an earlier flow from the same port,
+            // and this packet an old copy.
+            if forward.service != self.member.service || self.member.state != State::Ready {
                 self.forward_to_next(segment, forward, "not_accepting", out);
                 return;
             }
