Reset flows only at a process that is known to have ended

Clients could see an open flow reset, reason=server_ended, while its server served. An agent reported each acceptance with the server process of the last heartbeat. Between a server's start and its first heartbeat that is the previous process. A balancer compared the process of each flow with that of the record on every change of the record, so a later drain, a lost correction or an older record from the directory reset flows of a living server.

An agent now names a process only once a heartbeat of it has arrived while the flow was open, and then reports it to the flow's balancer. A balancer resets only the flows at the process that a change of the record ends: the one that it named before, or the one that it calls gone. It remembers the last named process while a restarted agent names none, so flows of a host that lost power are still reset.

Before: drain_keeps_unheard, lost_correction and older_record_listed each reset the flow once; after: none. restarted_host passes before and after.

Not measured: the added report per flow that outlives a heartbeat, and the resets that no longer come from balancers because a flow ended before its process was confirmed. A heartbeat that is delayed beyond the acceptance of the next process still confirms the wrong one.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -77,7 +77,7 @@
                 tracked.origin = Some(forward.origin);
                 tracked.lookup_pending = !tracked.open;
                 if tracked.open {
-                    let owner = owner(flow, &self.member, None);
+                    let owner = owner(flow, tracked, &self.member, None);
                     out.push(Output::Send(forward.origin, Message::Owner(owner)));
                 }
             }
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -275,7 +275,7 @@
         if accepted.is_some() || tracked.lookup_pending {
             tracked.lookup_pending = false;
             if let Some(origin) = tracked.origin {
-                let owner = owner(flow, &self.member, accepted);
+                let owner = owner(flow, tracked, &self.member, accepted);
                 out.push(Output::Send(origin, Message::Owner(owner)));
             }
         }
@@ -326,12 +326,12 @@
     }
 }
 
-fn owner(flow: Flow, member: &Member, accepted: Option<u32>) -> Owner {
+fn owner(flow: Flow, tracked: &AgentFlow, member: &Member, accepted: Option<u32>) -> Owner {
     Owner {
         client: flow.source,
         address: flow.destination,
         agent: member.agent,
-        process: (!member.server.is_empty()).then(|| member.process()),
+        process: tracked.confirmed.then(|| member.process()),
         accepted,
     }
 }
--- a/src/steering/agent/persistence.rs
+++ b/src/steering/agent/persistence.rs
@@ -58,6 +58,7 @@
                 .entry(flow)
                 .or_insert_with(|| AgentFlow::new(None, now));
             tracked.open = true;
+            tracked.confirmed = true;
             tracked.acknowledged = tracked.acknowledged.max(saved.acknowledged);
         }
     }
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use crate::id::Sequence;
-use crate::packet::Flow;
 use crate::steering::agent_flow::AgentFlow;
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Announce, Message, LIST_WANTED};
@@ -53,9 +52,7 @@
         member.service = heartbeat.service;
         member.slots = heartbeat.slots;
         member.state = heartbeat.state;
-        if replaced {
-            self.report_kept_flows(&member, out);
-        }
+        self.confirm_flows(&member, out);
         self.update(member, "heartbeat", now, out);
         self.resolve_previous_snapshot(now, out);
         HeartbeatOutcome::Accepted
@@ -167,16 +164,20 @@
         }
     }
 
-    /// Reports the server of `member` as the owner of the kept flows. This must precede the
-    /// announcement of the new server, on which balancers reset the flows of the previous one.
-    fn report_kept_flows(&self, member: &Member, out: &mut Vec<Output>) {
-        let origin = |(flow, tracked): (&Flow, &AgentFlow)| {
-            Some((tracked.origin.filter(|_| tracked.open)?, *flow))
-        };
-        let mut kept: Vec<_> = self.flows.iter().filter_map(origin).collect();
-        kept.sort_by_key(|(_, flow)| flow.source);
-        for (origin, flow) in kept {
-            let owner = owner(flow, member, None);
+    /// Confirms the open flows that began since the last heartbeat, now that the server of `member`
+    /// has sent one, and reports them. This must precede the announcement of a new server, on which
+    /// balancers reset the flows of the previous one.
+    fn confirm_flows(&mut self, member: &Member, out: &mut Vec<Output>) {
+        let unconfirmed = |tracked: &AgentFlow| tracked.accepts_requests() && !tracked.confirmed;
+        let mut reports = Vec::new();
+        for (flow, tracked) in self.flows.iter_mut().filter(|(_, t)| unconfirmed(t)) {
+            tracked.confirmed = true;
+            if let Some(origin) = tracked.origin {
+                reports.push((origin, owner(*flow, tracked, member, None)));
+            }
+        }
+        reports.sort_by_key(|(_, owner)| owner.client);
+        for (origin, owner) in reports {
             out.push(Output::Send(origin, Message::Owner(owner)));
         }
     }
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -15,6 +15,10 @@
     /// Whether the flow is established: the server has sent a packet other than its acceptance, or
     /// the flow comes from a snapshot.
     pub open: bool,
+    /// Whether the server's current process is certainly the only one that can hold the flow: it has
+    /// sent a heartbeat while the flow was open, or is the one that the snapshot names. Before that,
+    /// a process that the agent hasn't heard of yet may have accepted the flow.
+    pub confirmed: bool,
     /// Whether the server has sent a packet of the flow.
     pub answered: bool,
     /// When the client sent the request that has no answer yet.
@@ -64,6 +68,7 @@
     pub fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
         Self {
             open: false,
+            confirmed: false,
             answered: false,
             request_since: None,
             sent_end: None,
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -91,10 +91,14 @@
     fn merge_member(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let agent = member.agent;
         self.named_agents.remove(&agent);
+        let previous = self.roster.get(&agent).and_then(|entry| entry.process);
         if !self.roster.merge(member, direct, now) {
             return;
         }
-        let Some(Entry { member, .. }) = self.roster.get(&agent) else {
+        let Some(Entry {
+            member, process, ..
+        }) = self.roster.get(&agent)
+        else {
             return;
         };
         out.push(log_event(
@@ -105,25 +109,24 @@
                 member.service, member.server, member.state, member.incarnation, member.sequence
             ),
         ));
-        let ended = member.state == State::Gone;
-        let process = member.process();
-        if !member.server.is_empty() {
-            self.reset_ended_flows(agent, (!ended).then_some(process), out);
+        let (process, gone) = (*process, member.state == State::Gone);
+        let ended = [
+            previous.filter(|_| previous != process),
+            process.filter(|_| gone),
+        ];
+        for process in ended.into_iter().flatten() {
+            self.reset_ended_flows(agent, process, out);
         }
     }
 
-    /// Resets the flows at former server processes of an agent, so that their clients don't use
-    /// them for further requests. `current` is the process that runs now, if any.
-    fn reset_ended_flows(
-        &mut self,
-        agent: SocketAddr,
-        current: Option<Process>,
-        out: &mut Vec<Output>,
-    ) {
+    /// Resets the flows at a server process of an agent that has ended, so that their clients don't
+    /// use them for further requests. Flows at other processes stay: the record may be older than
+    /// the report of their owner.
+    fn reset_ended_flows(&mut self, agent: SocketAddr, ended: Process, out: &mut Vec<Output>) {
         let lost = |tracked: &BalancerFlow| {
-            tracked.owner.is_some_and(|owner| {
-                owner.agent == agent && owner.process.is_some() && owner.process != current
-            })
+            tracked
+                .owner
+                .is_some_and(|owner| owner.agent == agent && owner.process == Some(ended))
         };
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| lost(tracked)).collect();
         ended.sort_by_key(|(flow, _)| flow.source);
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -13,7 +13,7 @@
 pub struct Owner {
     /// Agent that gets the flow's packets.
     pub agent: SocketAddr,
-    /// The server's process, if the agent reported it.
+    /// The server's process, once the agent is certain of it.
     pub process: Option<Process>,
 }
 
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -59,7 +59,8 @@
     pub address: SocketAddr,
     /// Address of the agent whose server holds the flow.
     pub agent: SocketAddr,
-    /// Server process that holds the flow; none before the agent has heard from its server.
+    /// Server process that holds the flow; none until a heartbeat of the process shows that no other
+    /// one has accepted the flow.
     pub process: Option<Process>,
     /// Initial sequence number of the server if it has just accepted the flow; none if the flow is
     /// open.
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -61,6 +61,11 @@
     pub fn process(&self) -> Process {
         Process(hash_bytes(self.server.as_bytes()) ^ self.started)
     }
+
+    /// Returns the identity of the server's process once the agent has heard from it.
+    fn named_process(&self) -> Option<Process> {
+        (!self.server.is_empty()).then(|| self.process())
+    }
 }
 
 /// Identity of a server process: a hash of its name and start time. Flows end with their process.
@@ -72,6 +77,8 @@
 pub struct Entry {
     /// The latest record.
     pub member: Member,
+    /// The last process that a record has named; an agent that restarts names none at first.
+    pub process: Option<Process>,
     /// When a message of the agent last arrived, or when its record was first read from the
     /// directory.
     pub last_heard: Instant,
@@ -155,6 +162,7 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             let entry = Entry {
                 hash: hash_bytes(key.to_string().as_bytes()),
+                process: member.named_process(),
                 member,
                 last_heard: now,
                 heard_directly: direct,
@@ -175,6 +183,7 @@
         if order(&member) <= order(&entry.member) {
             return false;
         }
+        entry.process = member.named_process().or(entry.process);
         entry.member = member;
         true
     }
--- /dev/null
+++ b/tests/steering/identity.rs
@@ -0,0 +1,166 @@
+//! Tests of what agents and balancers conclude about the identity of servers and agents.
+
+use std::time::{Duration, Instant};
+
+use flamingofall::id::Incarnation;
+use flamingofall::steering::agent::{self, Agent};
+use flamingofall::steering::balancer::{self, Balancer};
+use flamingofall::steering::message::{self, Message};
+use flamingofall::steering::roster::State;
+use flamingofall::steering::segment::Kind;
+
+use super::fixture::*;
+
+/// An agent without a heartbeat of its server.
+fn new_agent(incarnation: u64, now: Instant) -> Agent {
+    let mut agent = Agent::new(
+        agent_addr(1),
+        "portal".into(),
+        Incarnation(incarnation),
+        Duration::from_millis(770),
+        now,
+    );
+    agent.add_balancer(addr(BALANCER), now);
+    agent
+}
+
+/// A balancer that has no agents but the directory, and an agent that has announced its server
+/// `a`, started at 1, to it.
+fn pair(now: Instant) -> (Agent, Balancer) {
+    let mut agent = new_agent(1, now);
+    let mut balancer = balancer(0, now);
+    let announced = beat(&mut agent, "a", 1, 1, State::Ready, now);
+    deliver(&mut balancer, announced, now);
+    (agent, balancer)
+}
+
+/// Applies a heartbeat and returns the messages to the balancer.
+fn beat(
+    agent: &mut Agent,
+    server: &str,
+    started: u64,
+    sequence: u64,
+    state: State,
+    now: Instant,
+) -> Vec<Message> {
+    let mut out = Vec::new();
+    let heartbeat = heartbeat(server, started, sequence, state);
+    agent.heartbeat(heartbeat, now, &mut out);
+    messages(out)
+}
+
+fn messages(out: Vec<agent::Output>) -> Vec<Message> {
+    let sent = |output| match output {
+        agent::Output::Send(_, message) => Some(message),
+        _ => None,
+    };
+    out.into_iter().filter_map(sent).collect()
+}
+
+/// Delivers an agent's messages to the balancer.
+fn deliver(balancer: &mut Balancer, messages: Vec<Message>, now: Instant) -> Vec<balancer::Output> {
+    let mut out = Vec::new();
+    for message in messages {
+        balancer.message(agent_addr(1), message, |_| None, now, &mut out);
+    }
+    out
+}
+
+/// Lets the agent's server accept flow 1, and returns the report.
+fn accept(agent: &mut Agent, now: Instant) -> Vec<Message> {
+    let syn = segment(flow(1), Kind::Open, 0);
+    forward_to_agent(agent, syn, forward("portal", Vec::new(), false), now);
+    answer(agent, Kind::Accept, now)
+}
+
+/// Lets the agent's server send a packet of flow 1, and returns the messages to the balancer.
+fn answer(agent: &mut Agent, kind: Kind, now: Instant) -> Vec<Message> {
+    let mut out = Vec::new();
+    agent.server_packet(segment(flow(1), kind, 1), vec![1], now, &mut out);
+    messages(out)
+}
+
+/// The client acknowledges the acceptance of flow 1.
+fn choose(balancer: &mut Balancer, now: Instant) {
+    let chosen = segment(flow(1), Kind::Data, 8);
+    balancer.packet(chosen, vec![0], now, &mut Vec::new());
+}
+
+// Guards against resets of a flow that a new server accepted before its first heartbeat, when that
+// server drains: the agent's report of the acceptance overtook nothing and names the old process.
+#[test]
+fn drain_keeps_unheard() {
+    let now = Instant::now();
+    let (mut agent, mut balancer) = pair(now);
+    let later = now + Duration::from_millis(500);
+    let accepted = accept(&mut agent, later);
+    let replaced = beat(&mut agent, "b", 2, 1, State::Ready, later);
+    deliver(&mut balancer, replaced, later);
+    deliver(&mut balancer, accepted, later);
+    choose(&mut balancer, later);
+    let drains = beat(&mut agent, "b", 2, 2, State::Draining, later);
+    let out = deliver(&mut balancer, drains, later);
+    assert_eq!(resets(&out), 0);
+}
+
+// Guards against resets of a flow that a new server accepted before its first heartbeat, when the
+// agent's report that follows the heartbeat is lost.
+#[test]
+fn lost_correction() {
+    let now = Instant::now();
+    let (mut agent, mut balancer) = pair(now);
+    let later = now + Duration::from_millis(500);
+    let accepted = accept(&mut agent, later);
+    deliver(&mut balancer, accepted, later);
+    choose(&mut balancer, later);
+    answer(&mut agent, Kind::Data, later);
+    let mut replaced = beat(&mut agent, "b", 2, 1, State::Ready, later);
+    replaced.retain(|message| matches!(message, Message::Announce(_)));
+    let out = deliver(&mut balancer, replaced, later);
+    assert_eq!(resets(&out), 0);
+}
+
+// Guards against resets by a balancer that reads an older record in the directory after the agent
+// has reported a flow of its present server.
+#[test]
+fn older_record_listed() {
+    let now = Instant::now();
+    let mut balancer = balancer(0, now);
+    let mut present = member(1, "portal", State::Ready);
+    present.started = 2;
+    let owner = Message::Owner(message::Owner {
+        client: flow(1).source,
+        address: flow(1).destination,
+        agent: agent_addr(1),
+        process: Some(present.process()),
+        accepted: None,
+    });
+    deliver(&mut balancer, vec![owner], now);
+    let mut out = Vec::new();
+    let listed = vec![member(1, "portal", State::Ready)];
+    balancer.merge_directory(listed, Vec::new(), now, &mut out);
+    assert_eq!(resets(&out), 0);
+}
+
+// Guards against clients that keep using the flows of a host that lost power: the restarted agent
+// announces itself before its new server does.
+#[test]
+fn restarted_host() {
+    let now = Instant::now();
+    let (mut agent, mut balancer) = pair(now);
+    let accepted = accept(&mut agent, now);
+    deliver(&mut balancer, accepted, now);
+    choose(&mut balancer, now);
+    answer(&mut agent, Kind::Data, now);
+    let heard = beat(&mut agent, "a", 1, 2, State::Ready, now);
+    deliver(&mut balancer, heard, now);
+
+    let mut agent = new_agent(2, now);
+    let mut out = Vec::new();
+    agent.tick(now, &mut out);
+    let out = deliver(&mut balancer, messages(out), now);
+    assert_eq!(resets(&out), 0);
+    let started = beat(&mut agent, "b", 2, 1, State::Ready, now);
+    let out = deliver(&mut balancer, started, now);
+    assert_eq!(resets(&out), 1);
+}
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -1,6 +1,7 @@
 //! Tests of single decisions of the balancer and the agent. `emulator/tests` runs whole systems.
 
 mod fixture;
+mod identity;
 mod resets;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
