End a server only by a notice of its own process

A server may start again under the name that it had. The notice of a server's end was compared by name only, so one of the earlier process that arrived late reset the flows of its successor and took it out of service until its record changed.

--- a/emulator/src/simulation/agents.rs
+++ b/emulator/src/simulation/agents.rs
@@ -188,12 +188,12 @@
     pub(super) fn server_exit(&mut self, index: usize, name: &str) {
         let now = self.instant();
         let host = &mut self.hosts[index];
-        if host.server.take_if(|server| server.name == name).is_none() {
+        let Some(server) = host.server.take_if(|server| server.name == name) else {
             return;
-        }
+        };
         let mut out = Vec::new();
         if let Some(state_machine) = &mut host.state_machine {
-            state_machine.server_left(name, now, &mut out);
+            state_machine.server_left(name, Some(server.started_ms), now, &mut out);
         }
         self.apply_agent_outputs(index, out);
         self.hosts[index].state_machine = None;
--- a/emulator/tests/schedules.rs
+++ b/emulator/tests/schedules.rs
@@ -253,9 +253,13 @@
                 // choose would drain first.
                 if let (Some(index), Some(_)) = (free, holder) {
                     let server = self.servers[index].take();
-                    let name = server.map(|server| server.name).unwrap_or_default();
                     let mut out = Vec::new();
-                    self.agents[index].server_left(&name, self.now, &mut out);
+                    if let Some(Server {
+                        name, started_ms, ..
+                    }) = server
+                    {
+                        self.agents[index].server_left(&name, Some(started_ms), self.now, &mut out);
+                    }
                     self.apply_agent_outputs(index, out);
                 }
             }
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -59,9 +59,17 @@
     }
 
     /// Handles the server's notice that it ends: resets its flows. Later packets go to the next
-    /// candidate.
-    pub fn server_left(&mut self, server: &str, now: Instant, out: &mut Vec<Output>) {
-        if server != self.member.server {
+    /// candidate. `started` is the start of the server's process in Unix milliseconds, if the notice
+    /// tells it; a later process may have the same name.
+    pub fn server_left(
+        &mut self,
+        server: &str,
+        started: Option<u64>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let other_process = started.is_some_and(|started| started != self.member.started);
+        if server != self.member.server || other_process {
             out.push(log_event(
                 Topic::HeartbeatIgnored,
                 format!("server={server} reason=not_the_current_server"),
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -164,3 +164,22 @@
     let out = deliver(&mut balancer, started, now);
     assert_eq!(resets(&out), 1);
 }
+
+// Guards against a late notice of an earlier process that ends the flows of its successor, which
+// has the same name.
+#[test]
+fn late_notice() {
+    let now = Instant::now();
+    let (mut agent, _) = pair(now);
+    beat(&mut agent, "a", 9, 1, State::Ready, now);
+    accept(&mut agent, now);
+    answer(&mut agent, Kind::Data, now);
+    let mut out = Vec::new();
+    agent.server_left("a", Some(1), now, &mut out);
+    assert_eq!(agent_resets(&out), 0);
+    assert_eq!(agent.member().state, State::Ready);
+
+    agent.server_left("a", Some(9), now, &mut out);
+    assert_eq!(agent_resets(&out), 1);
+    assert_eq!(agent.member().state, State::Gone);
+}
