Raise an agent's incarnation above that of its earlier process

An agent's incarnation is the time of day at its start. If the host's clock was set back before the agent started again, balancers that knew it took none of its records: drains, ends and new servers weren't seen, and a record that says `gone` kept the agent out of placements and lookups, for as long as the agent was heard.

A balancer now answers an announcement of an earlier incarnation than it holds with that incarnation, and the agent goes above it. A lost answer is repeated with the next announcement. An announcement of an earlier process that arrives late changes nothing, as the agent has a later incarnation already.

Not measured: a host whose clock goes back in a whole system. A late record of the earlier process that reaches a balancer which has only the new, lower one is still taken until the agent's next announcement.

--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -225,6 +225,7 @@
                 self.balancers
                     .retain(|_, named| now.saturating_duration_since(*named) < BALANCER_EXPIRY);
             }
+            Message::Superseded(held) => self.supersede(held, now, out),
             Message::Owner(_)
             | Message::Exhausted(_)
             | Message::Announce(_)
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::id::Sequence;
+use crate::id::{Incarnation, Sequence};
 use crate::steering::agent_flow::AgentFlow;
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Announce, Message, LIST_WANTED};
@@ -135,6 +135,18 @@
         self.update(member, cause, now, out);
     }
 
+    /// Goes above the incarnation of an earlier process of this agent, whose record a balancer
+    /// prefers: the host's clock was set back. The answer to a late announcement of an earlier
+    /// process names an incarnation that this agent has already.
+    pub(super) fn supersede(&mut self, held: Incarnation, now: Instant, out: &mut Vec<Output>) {
+        if held <= self.member.incarnation {
+            return;
+        }
+        let mut member = self.member.clone();
+        member.incarnation = Incarnation(held.0.saturating_add(1));
+        self.update(member, "incarnation_superseded", now, out);
+    }
+
     fn update(&mut self, mut member: Member, cause: &str, now: Instant, out: &mut Vec<Output>) {
         if member == self.member {
             return;
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -80,6 +80,10 @@
         out: &mut Vec<Output>,
     ) {
         let agent = announce.member.agent;
+        let held = self.roster.get(&agent).map(|e| e.member.incarnation);
+        if let Some(held) = held.filter(|held| *held > announce.member.incarnation) {
+            out.push(Output::Send(agent, Message::Superseded(held)));
+        }
         self.merge_member(announce.member.clone(), true, now, out);
         self.roster.record_load(&announce);
         if announce.balancers as usize != self.peers.len() + 1 {
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -212,7 +212,7 @@
                     self.receive_exhausted(segment, &forward, now, out);
                 }
             }
-            Message::Forward(_) | Message::Balancers(_) => {
+            Message::Forward(_) | Message::Balancers(_) | Message::Superseded(_) => {
                 out.push(log_event(
                     Topic::MessageIgnored,
                     format!("from={from} reason=not_for_a_balancer"),
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::Generation;
+use crate::id::{Generation, Incarnation};
 
 use super::response_stats::ResponseStats;
 use super::roster::{Member, Process};
@@ -25,6 +25,9 @@
     Balancers(Vec<SocketAddr>),
     /// Balancer to balancer: the generation in force, and the balancers and agents that are known.
     Digest(Digest),
+    /// Balancer to agent: an announcement was ignored, as the balancer holds a record of this later
+    /// incarnation.
+    Superseded(Incarnation),
 }
 
 /// A client's packet on its way to a server.
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -38,7 +38,8 @@
 pub struct Member {
     /// Address at which the agent receives packets. It identifies the agent.
     pub agent: SocketAddr,
-    /// Start of the agent's process in Unix milliseconds.
+    /// Start of the agent's process in Unix milliseconds, or one more than the incarnation of an
+    /// earlier process if the clock was set back between them.
     pub incarnation: Incarnation,
     /// Increases with each change of the record.
     pub sequence: Sequence,
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -183,3 +183,59 @@
     assert_eq!(agent_resets(&out), 1);
     assert_eq!(agent.member().state, State::Gone);
 }
+
+/// Lets the agent announce itself to the balancer, and delivers the balancer's answers.
+fn exchange(agent: &mut Agent, balancer: &mut Balancer, now: Instant) {
+    let mut out = Vec::new();
+    agent.tick(now, &mut out);
+    for output in deliver(balancer, messages(out), now) {
+        if let balancer::Output::Send(_, message) = output {
+            agent.message(addr(BALANCER), message, |_| None, now, &mut Vec::new());
+        }
+    }
+}
+
+// Guards against balancers that ignore an agent for good after its host's clock was set back: they
+// wouldn't see that its server drains or ends.
+#[test]
+fn clock_set_back() {
+    let now = Instant::now();
+    let mut balancer = balancer(0, now);
+    for (incarnation, started) in [(10, 1), (5, 2)] {
+        let mut agent = new_agent(incarnation, now);
+        let at = |millis| now + Duration::from_millis(millis);
+        beat(&mut agent, "a", started, 1, State::Ready, now);
+        exchange(&mut agent, &mut balancer, at(400));
+        exchange(&mut agent, &mut balancer, at(800));
+        let drains = beat(&mut agent, "a", started, 2, State::Draining, at(900));
+        deliver(&mut balancer, drains, at(900));
+        let mut out = Vec::new();
+        let syn = segment(flow(started as u16), Kind::Open, 0);
+        balancer.packet(syn, vec![0], at(900), &mut out);
+        assert_eq!(forwards(&out), [], "incarnation {incarnation}");
+        let ready = beat(&mut agent, "a", started, 3, State::Ready, at(1000));
+        deliver(&mut balancer, ready, at(1000));
+        out.clear();
+        let syn = segment(flow(started as u16), Kind::Open, 1);
+        balancer.packet(syn, vec![0], at(1000), &mut out);
+        assert_eq!(forwards(&out).len(), 1, "incarnation {incarnation}");
+    }
+}
+
+// Guards against an agent that takes a late announcement of its earlier process for its own.
+#[test]
+fn late_announcement() {
+    let now = Instant::now();
+    let mut balancer = balancer(0, now);
+    let mut earlier = new_agent(5, now);
+    let mut late = Vec::new();
+    earlier.tick(now, &mut late);
+    let mut agent = new_agent(10, now);
+    exchange(&mut agent, &mut balancer, now);
+    for output in deliver(&mut balancer, messages(late), now) {
+        if let balancer::Output::Send(_, message) = output {
+            agent.message(addr(BALANCER), message, |_| None, now, &mut Vec::new());
+        }
+    }
+    assert_eq!(agent.member().incarnation, Incarnation(10));
+}
