Tell a flow from an earlier one of the same client port at agents

An agent kept `open` after its server had finished a flow, and over a new acceptance of the same client address and port. If the client had opened that flow at another server, a lookup that passed this agent was answered with a claim of ownership, and when the server returned the packet the agent reset the flow, reason=server_lost_it, while the other server held it.

A finished flow now neither claims nor loses anything: its returned packets go to the next candidate. An acceptance with another sequence number begins a new flow, which is open only once the server sends more.

Before, port_used_again saw a false claim and accepted_again one reset; after, none.

Not measured: how often clients use a port again within the 65 s in which an agent remembers a flow. Packets of a finished flow whose server has crashed now end in a lookup instead of a reset at once.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -75,8 +75,8 @@
             tracked.record_request(&segment, now);
             if forward.lookup {
                 tracked.origin = Some(forward.origin);
-                tracked.lookup_pending = !tracked.open;
-                if tracked.open {
+                tracked.lookup_pending = !tracked.accepts_requests();
+                if tracked.accepts_requests() {
                     let owner = owner(flow, tracked, &self.member, None);
                     out.push(Output::Send(forward.origin, Message::Owner(owner)));
                 }
@@ -162,8 +162,9 @@
             return;
         };
         let tracked = self.flows.remove(&segment.flow);
-        if tracked.is_some_and(|tracked| tracked.open) && !segment.opens() {
-            // The flow was open at this server, so no other server can hold it.
+        if tracked.is_some_and(|tracked| tracked.accepts_requests()) && !segment.opens() {
+            // The flow was open at this server, so no other server can hold it. After its end, the
+            // packet may belong to a later flow of the same client address and port.
             self.reset(segment.flow, segment.acknowledgement, "server_lost_it", out);
             return;
         }
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -254,6 +254,9 @@
         tracked.last_packet_at = now;
         tracked.answered = true;
         let accepted = (segment.kind == Kind::Accept).then_some(segment.sequence);
+        if let Some(sequence) = accepted {
+            tracked.record_acceptance(sequence, now);
+        }
         if segment.kind != Kind::Accept {
             tracked.open = true;
             if segment.length > 0 {
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -27,6 +27,9 @@
     sent_end: Option<u32>,
     /// Last acknowledgement number from the client.
     pub acknowledged: u32,
+    /// Sequence number of the server's acceptance, unless the flow was accepted before this agent
+    /// started.
+    acceptance: Option<u32>,
     /// Whether the server has ended its direction of the flow.
     pub finished: bool,
     /// Whether a request whose outcome is unknown must not be repeated.
@@ -52,6 +55,20 @@
         }
     }
 
+    /// Records the server's acceptance. One with another sequence number than before begins a new
+    /// flow of the same client address and port.
+    pub fn record_acceptance(&mut self, sequence: u32, now: Instant) {
+        if self.acceptance.is_some_and(|earlier| earlier != sequence) {
+            self.open = false;
+            self.confirmed = false;
+            self.finished = false;
+            self.request_since = None;
+            self.sent_end = None;
+            self.first_packet_at = now;
+        }
+        self.acceptance = Some(sequence);
+    }
+
     /// Whether a request is in progress whose client is still taken to wait for the answer.
     pub fn has_pending_request(&self, now: Instant) -> bool {
         let waits = |since| now.saturating_duration_since(since) < ABANDONED_AFTER;
@@ -72,6 +89,7 @@
             answered: false,
             request_since: None,
             sent_end: None,
+            acceptance: None,
             acknowledged: 0,
             finished: false,
             at_most_once: true,
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -239,3 +239,45 @@
     }
     assert_eq!(agent.member().incarnation, Incarnation(10));
 }
+
+// Guards against the reset of a flow that another server holds, because an earlier flow of the same
+// client address and port was open here.
+#[test]
+fn port_used_again() {
+    let now = Instant::now();
+    let (mut agent, _) = pair(now);
+    accept(&mut agent, now);
+    answer(&mut agent, Kind::Data, now);
+    answer(&mut agent, Kind::Finish, now);
+    let data = segment(flow(1), Kind::Data, 50);
+    let asked = forward("", vec![agent_addr(2)], true);
+    let out = forward_to_agent(&mut agent, data, asked, now);
+    let token = delivered(&out).unwrap();
+    let claims = |message: &Message| matches!(message, Message::Owner(_));
+    assert!(!messages(out).iter().any(claims));
+    let mut out = Vec::new();
+    agent.packet_returned(data, token, vec![1], &mut out);
+    assert_eq!(agent_resets(&out), 0);
+}
+
+// Guards against the reset of a flow whose client has chosen another server: the acceptance here is
+// of a new flow, although an earlier one of the same client address and port was open here.
+#[test]
+fn accepted_again() {
+    let now = Instant::now();
+    let (mut agent, _) = pair(now);
+    accept(&mut agent, now);
+    answer(&mut agent, Kind::Data, now);
+    let syn = segment(flow(1), Kind::Open, 0);
+    forward_to_agent(&mut agent, syn, forward("portal", Vec::new(), false), now);
+    let mut acceptance = segment(flow(1), Kind::Accept, 1);
+    acceptance.sequence = 900;
+    agent.server_packet(acceptance, vec![1], now, &mut Vec::new());
+    let data = segment(flow(1), Kind::Data, 50);
+    let asked = forward("", vec![agent_addr(2)], true);
+    let out = forward_to_agent(&mut agent, data, asked, now);
+    let token = delivered(&out).unwrap();
+    let mut out = Vec::new();
+    agent.packet_returned(data, token, vec![1], &mut out);
+    assert_eq!(agent_resets(&out), 0);
+}
