--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -76,9 +76,9 @@
             tracked.record_request(&segment, now);
             if forward.lookup {
                 tracked.origin = Some(forward.origin);
-                tracked.lookup_pending = !tracked.open;
-                if tracked.open {
-                    let owner = owner(flow, &self.member, None);
+                tracked.lookup_pending = !tracked.accepts_requests();
+                if tracked.accepts_requests() {
+                    let owner = owner(flow, tracked, &self.member, None);
                     out.push(Output::Send(forward.origin, Message::Owner(owner)));
                 }
             }
@@ -163,8 +163,10 @@
             return;
         };
         let tracked = self.flows.remove(&segment.flow);
-        if let Some(tracked) = tracked.filter(|tracked| tracked.open && !segment.opens()) {
-            // The flow was open at this server, so no other server can hold it.
+        let held = |tracked: &AgentFlow| tracked.accepts_requests() && !segment.opens();
+        if let Some(tracked) = tracked.filter(held) {
+            // The flow was open at this server, so no other server can hold it. After its end, the
+            // packet may belong to a later flow of the same client address and port.
             let lost = EndedFlow {
                 flow: segment.flow,
                 acknowledged: segment.acknowledgement,
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -225,6 +225,7 @@
                 self.balancers
                     .retain(|_, named| now.saturating_duration_since(*named) < BALANCER_EXPIRY);
             }
+            Message::Superseded(held) => self.supersede(held, now, out),
             Message::Owner(_)
             | Message::Exhausted(_)
             | Message::Announce(_)
@@ -253,6 +254,9 @@
         tracked.last_packet_at = now;
         tracked.answered = true;
         let accepted = (segment.kind == Kind::Accept).then_some(segment.sequence);
+        if let Some(sequence) = accepted {
+            tracked.record_acceptance(sequence, now);
+        }
         if segment.kind != Kind::Accept {
             tracked.open = true;
             if segment.length > 0 {
@@ -275,7 +279,7 @@
         if accepted.is_some() || tracked.lookup_pending {
             tracked.lookup_pending = false;
             if let Some(origin) = tracked.origin {
-                let owner = owner(flow, &self.member, accepted);
+                let owner = owner(flow, tracked, &self.member, accepted);
                 out.push(Output::Send(origin, Message::Owner(owner)));
             }
         }
@@ -351,12 +355,12 @@
     answered: bool,
 }
 
-fn owner(flow: Flow, member: &Member, accepted: Option<u32>) -> Owner {
+fn owner(flow: Flow, tracked: &AgentFlow, member: &Member, accepted: Option<u32>) -> Owner {
     Owner {
         client: flow.source,
         address: flow.destination,
         agent: member.agent,
-        process: (!member.server.is_empty()).then(|| member.process()),
+        process: tracked.confirmed.then(|| member.process()),
         accepted,
     }
 }
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::id::Sequence;
-use crate::packet::Flow;
+use crate::id::{Incarnation, Sequence};
 use crate::steering::agent_flow::AgentFlow;
 use crate::steering::log_event::{Reason, Topic};
 use crate::steering::message::{Announce, Message, LIST_WANTED};
@@ -55,18 +54,24 @@
         member.service = heartbeat.service;
         member.slots = heartbeat.slots;
         member.state = heartbeat.state;
-        if replaced {
-            self.report_kept_flows(&member, out);
-        }
+        self.confirm_flows(&member, out);
         self.update(member, "heartbeat", now, out);
         self.resolve_previous_snapshot(now, out);
         HeartbeatOutcome::Accepted
     }
 
     /// Handles the server's notice that it ends: resets its flows. Later packets go to the next
-    /// candidate.
-    pub fn server_left(&mut self, server: &str, now: Instant, out: &mut Vec<Output>) {
-        if server != self.member.server {
+    /// candidate. `started` is the start of the server's process in Unix milliseconds, if the notice
+    /// tells it; a later process may have the same name.
+    pub fn server_left(
+        &mut self,
+        server: &str,
+        started: Option<u64>,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let other_process = started.is_some_and(|started| started != self.member.started);
+        if server != self.member.server || other_process {
             out.push(log_event(
                 Topic::HeartbeatIgnored,
                 format!("server={server} reason=not_the_current_server"),
@@ -132,6 +137,18 @@
         self.update(member, cause, now, out);
     }
 
+    /// Goes above the incarnation of an earlier process of this agent, whose record a balancer
+    /// prefers: the host's clock was set back. The answer to a late announcement of an earlier
+    /// process names an incarnation that this agent has already.
+    pub(super) fn supersede(&mut self, held: Incarnation, now: Instant, out: &mut Vec<Output>) {
+        if held <= self.member.incarnation {
+            return;
+        }
+        let mut member = self.member.clone();
+        member.incarnation = Incarnation(held.0.saturating_add(1));
+        self.update(member, "incarnation_superseded", now, out);
+    }
+
     fn update(&mut self, mut member: Member, cause: &str, now: Instant, out: &mut Vec<Output>) {
         if member == self.member {
             return;
@@ -176,16 +193,20 @@
         }
     }
 
-    /// Reports the server of `member` as the owner of the kept flows. This must precede the
-    /// announcement of the new server, on which balancers reset the flows of the previous one.
-    fn report_kept_flows(&self, member: &Member, out: &mut Vec<Output>) {
-        let origin = |(flow, tracked): (&Flow, &AgentFlow)| {
-            Some((tracked.origin.filter(|_| tracked.open)?, *flow))
-        };
-        let mut kept: Vec<_> = self.flows.iter().filter_map(origin).collect();
-        kept.sort_by_key(|(_, flow)| flow.source);
-        for (origin, flow) in kept {
-            let owner = owner(flow, member, None);
+    /// Confirms the open flows that began since the last heartbeat, now that the server of `member`
+    /// has sent one, and reports them. This must precede the announcement of a new server, on which
+    /// balancers reset the flows of the previous one.
+    fn confirm_flows(&mut self, member: &Member, out: &mut Vec<Output>) {
+        let unconfirmed = |tracked: &AgentFlow| tracked.accepts_requests() && !tracked.confirmed;
+        let mut reports = Vec::new();
+        for (flow, tracked) in self.flows.iter_mut().filter(|(_, t)| unconfirmed(t)) {
+            tracked.confirmed = true;
+            if let Some(origin) = tracked.origin {
+                reports.push((origin, owner(*flow, tracked, member, None)));
+            }
+        }
+        reports.sort_by_key(|(_, owner)| owner.client);
+        for (origin, owner) in reports {
             out.push(Output::Send(origin, Message::Owner(owner)));
         }
     }
--- a/src/steering/balancer/evidence.rs
+++ b/src/steering/balancer/evidence.rs
@@ -15,7 +15,7 @@
 /// A change of an agent's record.
 pub(super) struct Change {
     pub agent: SocketAddr,
-    /// The process that ran according to the previous record.
+    /// The last process that an earlier record named.
     pub before: Option<Process>,
     /// The process that runs now; none if the server has ended.
     pub after: Option<Process>,
@@ -95,13 +95,6 @@
             owner_evidence(tracked, now)
         )
     }
-
-    /// The process that runs beside an agent according to its record.
-    pub(super) fn running_process(&self, agent: &SocketAddr) -> Option<Process> {
-        let member = &self.roster.get(agent)?.member;
-        let runs = member.state != State::Gone && !member.server.is_empty();
-        runs.then(|| member.process())
-    }
 }
 
 fn owner_evidence(tracked: Option<&BalancerFlow>, now: Instant) -> String {
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -9,7 +9,7 @@
 use crate::steering::balancer_flow::BalancerFlow;
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
-use crate::steering::roster::{Entry, Member, State};
+use crate::steering::roster::{Entry, Member, Process, State};
 
 use super::evidence::Change;
 use super::{log_event, Balancer, Output};
@@ -81,6 +81,10 @@
         out: &mut Vec<Output>,
     ) {
         let agent = announce.member.agent;
+        let held = self.roster.get(&agent).map(|e| e.member.incarnation);
+        if let Some(held) = held.filter(|held| *held > announce.member.incarnation) {
+            out.push(Output::Send(agent, Message::Superseded(held)));
+        }
         self.merge_member(announce.member.clone(), true, now, out);
         self.roster.record_load(&announce);
         if announce.balancers as usize != self.peers.len() + 1 {
@@ -92,11 +96,14 @@
     fn merge_member(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let agent = member.agent;
         self.named_agents.remove(&agent);
-        let before = self.running_process(&agent);
+        let previous = self.roster.get(&agent).and_then(|entry| entry.process);
         if !self.roster.merge(member, direct, now) {
             return;
         }
-        let Some(Entry { member, .. }) = self.roster.get(&agent) else {
+        let Some(Entry {
+            member, process, ..
+        }) = self.roster.get(&agent)
+        else {
             return;
         };
         out.push(log_event(
@@ -107,28 +114,37 @@
                 member.service, member.server, member.state, member.incarnation, member.sequence
             ),
         ));
-        let ended = member.state == State::Gone;
-        let process = member.process();
-        if !member.server.is_empty() {
-            let change = Change {
-                agent,
-                before,
-                after: (!ended).then_some(process),
-                state: member.state,
-                direct,
-            };
-            self.reset_ended_flows(&change, now, out);
+        let (process, gone) = (*process, member.state == State::Gone);
+        let change = Change {
+            agent,
+            before: previous,
+            after: process.filter(|_| !gone),
+            state: member.state,
+            direct,
+        };
+        let ended = [
+            previous.filter(|_| previous != process),
+            process.filter(|_| gone),
+        ];
+        for process in ended.into_iter().flatten() {
+            self.reset_ended_flows(process, &change, now, out);
         }
     }
 
-    /// Resets the flows at former server processes of an agent, so that their clients don't use
-    /// them for further requests.
-    fn reset_ended_flows(&mut self, change: &Change, now: Instant, out: &mut Vec<Output>) {
+    /// Resets the flows at a server process that a change of its agent's record has ended, so that
+    /// their clients don't use them for further requests. Flows at other processes stay: the record
+    /// may be older than the report of their owner.
+    fn reset_ended_flows(
+        &mut self,
+        ended: Process,
+        change: &Change,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
         let lost = |tracked: &BalancerFlow| {
-            tracked.owner.is_some_and(|owner| {
-                let other = owner.process.is_some() && owner.process != change.after;
-                owner.agent == change.agent && other
-            })
+            tracked
+                .owner
+                .is_some_and(|owner| owner.agent == change.agent && owner.process == Some(ended))
         };
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| lost(tracked)).collect();
         ended.sort_by_key(|(flow, _)| flow.source);
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -39,7 +39,8 @@
 pub struct Member {
     /// Address at which the agent receives packets. It identifies the agent.
     pub agent: SocketAddr,
-    /// Start of the agent's process in Unix milliseconds.
+    /// Start of the agent's process in Unix milliseconds, or one more than the incarnation of an
+    /// earlier process if the clock was set back between them.
     pub incarnation: Incarnation,
     /// Increases with each change of the record.
     pub sequence: Sequence,
@@ -62,6 +63,11 @@
     pub fn process(&self) -> Process {
         Process(hash_bytes(self.server.as_bytes()) ^ self.started)
     }
+
+    /// Returns the identity of the server's process once the agent has heard from it.
+    fn named_process(&self) -> Option<Process> {
+        (!self.server.is_empty()).then(|| self.process())
+    }
 }
 
 /// Identity of a server process: a hash of its name and start time. Flows end with their process.
@@ -79,6 +85,8 @@
 pub struct Entry {
     /// The latest record.
     pub member: Member,
+    /// The last process that a record has named; an agent that restarts names none at first.
+    pub process: Option<Process>,
     /// When a message of the agent last arrived, or when its record was first read from the
     /// directory.
     pub last_heard: Instant,
@@ -162,6 +170,7 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             let entry = Entry {
                 hash: hash_bytes(key.to_string().as_bytes()),
+                process: member.named_process(),
                 member,
                 last_heard: now,
                 heard_directly: direct,
@@ -182,6 +191,7 @@
         if order(&member) <= order(&entry.member) {
             return false;
         }
+        entry.process = member.named_process().or(entry.process);
         entry.member = member;
         true
     }
--- a/tests/steering/evidence.rs
+++ b/tests/steering/evidence.rs
@@ -248,7 +248,7 @@
     );
     let now = start + Duration::from_millis(300);
     let mut out = Vec::new();
-    agent.server_left("a", now, &mut out);
+    agent.server_left("a", Some(1), now, &mut out);
     let (reason, pairs) = agent_reset(&out);
     assert_eq!(reason, Reason::Left);
     let expected = [("heartbeat_ms", "300"), ("known_from", "packets")];
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -2,6 +2,7 @@
 
 mod evidence;
 mod fixture;
+mod identity;
 mod resets;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
