Continue lookups of more agents than fit into a datagram

With more than 64 agents, the packets of an open flow whose balancer didn't know its agent went to the first 64 candidates, came back, and were dropped; retransmissions only varied the order. Clients saw a flow that hangs while its packets reach up to 64 other servers, or none of their own for as long as a client waits. A flow that no server holds was never reset.

Cause: a datagram holds 64 candidates, such a lookup was never complete, and nothing followed its return.

The packet carries only the number of its part, in the field that counts passes of opening packets; agents keep it unchanged already, so the message's layout stays. A returned part is followed by the agents that haven't answered, and the flow is reset only if every agent that is known at that moment has. This also covers an agent that has appeared since the lookup began, also with few agents.

The union of answers of several packets is sound: the client has sent them after its server had accepted the flow, so an answer of no is final for the flow, whichever packet it belongs to. A part whose packet is lost counts for nothing. A returned part that is no longer kept is ignored, and the client's retransmission asks the agents that haven't answered first.

Not measured here: the time that a lookup of several hundred agents takes on real hosts, one after the other.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -1,11 +1,13 @@
 //! Lookup of the agent that holds an open flow.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::packet::{Flow, Protocol};
 use crate::steering::balancer_flow::{self, Acceptance, BalancerFlow};
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Forward, Message, Owner};
+use crate::steering::roster::LookupCandidates;
 use crate::steering::segment::Segment;
 
 use super::{log_event, Balancer, Output, CANDIDATES_MAX};
@@ -32,11 +34,7 @@
         out: &mut Vec<Output>,
     ) {
         let flow = segment.flow;
-        let routes = &self.routes;
-        let may_serve = |service: &str| routes.may_serve(&flow.destination, service);
-        let mut found = self.roster.lookup_candidates(may_serve, &flow, now);
-        found.overdue.extend(self.named_agents.keys());
-        let discovery_done = self.discovery_done(now);
+        let mut found = self.lookup_candidates(&flow, now);
         let Some(likeliest) = found.groups().into_iter().flatten().next().copied() else {
             return;
         };
@@ -45,50 +43,63 @@
             .entry(flow)
             .or_insert_with(|| BalancerFlow::new(likeliest, now));
         tracked.last_packet_at = now;
+        tracked.search.expire(now);
         let recent = |at| now.saturating_duration_since(at) < LOOKUP_WINDOW;
         let new_lookup = !tracked.lookup_started.is_some_and(recent);
         if new_lookup {
             tracked.lookup_started = Some(now);
             tracked.lookups += 1;
         }
-        let attempt = tracked.lookups.saturating_sub(1);
-        // Agents that got the opening packet come first.
-        let (tried_agents, likely) = (&tracked.tried_agents, tracked.likely_agent);
-        for candidates in found.groups() {
-            candidates
-                .sort_by_key(|candidate| (*candidate != likely, !tried_agents.contains(candidate)));
-            // An unreachable candidate would stop every lookup at the same place, so repeated
-            // lookups vary the order.
-            let skip = attempt as usize / 2 % candidates.len().max(1);
-            candidates.rotate_left(skip);
-            if attempt % 2 == 1 {
-                candidates.reverse();
-            }
+        let mut candidates = in_order(found, tracked);
+        if candidates.len() > CANDIDATES_MAX {
+            candidates.sort_by_key(|candidate| tracked.search.denied(candidate));
         }
-        let mut candidates: Vec<_> = found
-            .groups()
-            .into_iter()
-            .flat_map(std::mem::take)
-            .collect();
-        let complete = discovery_done && candidates.len() <= CANDIDATES_MAX;
-        candidates.truncate(CANDIDATES_MAX);
-        if new_lookup && tracked.lookups == 1 && tried_agents.is_empty() {
+        if new_lookup && tracked.lookups == 1 && tracked.tried_agents.is_empty() {
             out.push(log_event(
                 Topic::Lookup,
                 format!(
                     "flow={flow} first={} candidates={}",
                     candidates[0],
-                    candidates.len()
+                    candidates.len().min(CANDIDATES_MAX)
                 ),
             ));
         }
+        let complete = candidates.len() <= CANDIDATES_MAX;
+        self.ask(&flow, packet, candidates, complete, now, out);
+    }
+
+    /// Sends a packet to as many of the candidates as fit into a datagram.
+    fn ask(
+        &mut self,
+        flow: &Flow,
+        packet: Vec<u8>,
+        mut candidates: Vec<SocketAddr>,
+        complete: bool,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let discovery_done = self.discovery_done(now);
+        let Some(tracked) = self.flows.get_mut(flow) else {
+            return;
+        };
+        candidates.truncate(CANDIDATES_MAX);
+        let part = tracked.search.send(&candidates, now);
         let first = candidates.remove(0);
-        let mut forward = self.forward(&flow, packet, candidates);
+        let mut forward = self.forward(flow, packet, candidates);
         forward.lookup = true;
-        forward.complete = complete;
+        forward.complete = complete && discovery_done;
+        forward.passes = part;
         out.push(Output::Send(first, Message::Forward(forward)));
     }
 
+    /// All agents that may hold an open flow, by this balancer's knowledge and that of its peers.
+    fn lookup_candidates(&self, flow: &Flow, now: Instant) -> LookupCandidates {
+        let may_serve = |service: &str| self.routes.may_serve(&flow.destination, service);
+        let mut found = self.roster.lookup_candidates(may_serve, flow, now);
+        found.overdue.extend(self.named_agents.keys());
+        found
+    }
+
     /// Whether this balancer has had the time to learn of all agents.
     fn discovery_done(&self, now: Instant) -> bool {
         let time = match self.digest_received || self.peers.is_empty() {
@@ -111,6 +122,7 @@
             .or_insert_with(|| BalancerFlow::new(owner.agent, now));
         tracked.lookups = 0;
         tracked.lookup_started = None;
+        tracked.search.clear();
         let first_report = !tracked.accepted;
         let holder = balancer_flow::Owner {
             agent: owner.agent,
@@ -131,7 +143,7 @@
     }
 
     /// Handles a packet that no candidate took. Resets a new flow unless another agent may still
-    /// accept it, and an open flow if a lookup has tried every agent. A packet that went only to
+    /// accept it, and an open flow if its lookups have tried every agent. A packet that went only to
     /// the known agent starts a lookup.
     pub(super) fn receive_exhausted(
         &mut self,
@@ -159,7 +171,39 @@
             self.lookup(segment, forward.packet.clone(), now, out);
             return;
         }
-        if forward.complete {
+        self.continue_lookup(segment, forward, now, out);
+    }
+
+    /// Asks the agents that no returned packet of the flow has asked. Resets the flow if there are
+    /// none: all agents that are known now have answered.
+    fn continue_lookup(
+        &mut self,
+        segment: Segment,
+        forward: &Forward,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let flow = segment.flow;
+        let found = self.lookup_candidates(&flow, now);
+        let Some(tracked) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        if !tracked.search.exhaust(forward.passes) {
+            return;
+        }
+        let mut candidates = in_order(found, tracked);
+        candidates.retain(|candidate| !tracked.search.denied(candidate));
+        if !candidates.is_empty() {
+            let complete = candidates.len() <= CANDIDATES_MAX;
+            self.ask(
+                &flow,
+                forward.packet.clone(),
+                candidates,
+                complete,
+                now,
+                out,
+            );
+        } else if self.discovery_done(now) {
             self.flows.remove(&flow);
             self.reset(segment, "no_server_holds_it", out);
         }
@@ -180,3 +224,26 @@
         });
     }
 }
+
+/// Returns the candidates in the order in which a lookup asks them. Agents that got the opening
+/// packet come first.
+fn in_order(mut found: LookupCandidates, tracked: &BalancerFlow) -> Vec<SocketAddr> {
+    let attempt = tracked.lookups.saturating_sub(1);
+    let (tried_agents, likely) = (&tracked.tried_agents, tracked.likely_agent);
+    for candidates in found.groups() {
+        candidates
+            .sort_by_key(|candidate| (*candidate != likely, !tried_agents.contains(candidate)));
+        // An unreachable candidate would stop every lookup at the same place, so repeated lookups
+        // vary the order.
+        let skip = attempt as usize / 2 % candidates.len().max(1);
+        candidates.rotate_left(skip);
+        if attempt % 2 == 1 {
+            candidates.reverse();
+        }
+    }
+    found
+        .groups()
+        .into_iter()
+        .flat_map(std::mem::take)
+        .collect()
+}
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -35,7 +35,8 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Flows without packets are removed after this time; their next packet causes a lookup.
 const FLOW_EXPIRY: Duration = Duration::from_secs(65);
-/// Maximum number of candidates in a forwarded packet, which keeps a datagram below 2 KB.
+/// Maximum number of candidates in a forwarded packet, which keeps a datagram below 2 KB. A lookup
+/// of more agents goes on with the next ones when the packet comes back.
 const CANDIDATES_MAX: usize = 64;
 /// Interval between digests to peers.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -45,6 +45,7 @@
             .entry(flow)
             .or_insert_with(|| BalancerFlow::new(self.address, now));
         tracked.last_packet_at = now;
+        tracked.search.clear();
         if segment.acknowledgement == 0 && !backlog {
             tracked.opened_at = Some(now);
         }
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::roster::Process;
+use super::search::Search;
 
 /// Time before a client sends the first copy of its opening packet.
 const FIRST_COPY_AFTER: Duration = Duration::from_millis(200);
@@ -52,6 +53,8 @@
     pub lookups: u32,
     /// When the last lookup began.
     pub lookup_started: Option<Instant>,
+    /// Answers to the lookups since the last report of an owner.
+    pub search: Search,
     /// When the last packet of the flow arrived.
     pub last_packet_at: Instant,
 }
@@ -70,6 +73,7 @@
             first_packet_at: now,
             lookups: 0,
             lookup_started: None,
+            search: Search::default(),
             last_packet_at: now,
         }
     }
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -38,10 +38,11 @@
     pub lookup: bool,
     /// Agents that get the packet if this one's server doesn't take it, in this order.
     pub candidates: Vec<SocketAddr>,
-    /// How often an agent has forwarded the packet because its server was busy.
+    /// Of an opening packet, how often an agent has forwarded it because its server was busy; of
+    /// a lookup, the number by which the balancer knows the agents that it asks.
     pub passes: u8,
-    /// Whether the first agent and the candidates are all that may hold the flow, so that the flow
-    /// is lost if none of them takes the packet.
+    /// Whether the first agent and the candidates are all that the balancer knew when it sent the
+    /// packet. It decides by its own record of the lookup.
     pub complete: bool,
     /// Whether a request on the flow's route must not be repeated when its outcome is unknown.
     pub at_most_once: bool,
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -16,5 +16,6 @@
 pub mod response_stats;
 pub mod roster;
 pub mod routes;
+mod search;
 pub mod segment;
 pub mod snapshot;
