Let a reported owner outweigh a returned lookup

A balancer reset an open flow, reason=no_server_holds_it, although the flow's server had just reported itself: two packets of a flow are looked up on different ways, one finds the server, and the other one comes back from agents that it had passed before. The same holds for a packet that passed a server before the flow opened there, and for a return that is doubled.

Cause: the return of a complete lookup removed the flow and reset it without a look at what had been reported since.

A returned packet of a flow whose owner is known now goes to the owner.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -185,9 +185,17 @@
     ) {
         let flow = segment.flow;
         let found = self.lookup_candidates(&flow, now);
+        let owner = self.current_owner(&flow);
         let Some(tracked) = self.flows.get_mut(&flow) else {
             return;
         };
+        // An owner that has reported itself outweighs an answer of no: another packet may have
+        // found the flow's server, or this one may have passed it too early.
+        if let Some(owner) = owner {
+            let forward = self.forward(&flow, forward.packet.clone(), Vec::new());
+            out.push(Output::Send(owner.agent, Message::Forward(forward)));
+            return;
+        }
         if !tracked.search.exhaust(forward.passes) {
             return;
         }
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -14,7 +14,7 @@
 use crate::hash::hash_bytes;
 use crate::id::Generation;
 use crate::packet::Flow;
-use crate::steering::balancer_flow::BalancerFlow;
+use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Topic};
 use crate::steering::message::{Forward, Message};
 use crate::steering::roster::{Roster, State};
@@ -182,15 +182,11 @@
             tracked.last_packet_at = now;
             tracked.acknowledged = segment.acknowledgement;
             tracked.select_acceptance(segment.acknowledgement);
-            let owner = tracked.owner.filter(|owner| {
-                let entry = self.roster.get(&owner.agent);
-                entry.is_some_and(|entry| entry.member.state != State::Gone)
-            });
-            if let Some(owner) = owner {
-                let forward = self.forward(&flow, packet, Vec::new());
-                out.push(Output::Send(owner.agent, Message::Forward(forward)));
-                return;
-            }
+        }
+        if let Some(owner) = self.current_owner(&flow) {
+            let forward = self.forward(&flow, packet, Vec::new());
+            out.push(Output::Send(owner.agent, Message::Forward(forward)));
+            return;
         }
         self.lookup(segment, packet, now, out);
     }
@@ -260,6 +256,14 @@
         }
     }
 
+    /// Owner of a flow, unless its agent's record says that the server has ended.
+    fn current_owner(&self, flow: &Flow) -> Option<Owner> {
+        self.flows.get(flow)?.owner.filter(|owner| {
+            let entry = self.roster.get(&owner.agent);
+            entry.is_some_and(|entry| entry.member.state != State::Gone)
+        })
+    }
+
     /// Whether packets may have waited in the receive queue while the process was suspended.
     fn reads_backlog(&self, now: Instant) -> bool {
         let suspended = now.saturating_duration_since(self.last_tick) > PAUSE_MIN;
