Ask agents whose record says gone while they are heard

A balancer reset open flows, reason=no_server_holds_it, without asking the server that held them, if it still had the record with which that server's predecessor on the same host had ended: an announcement was lost, or the path from the agent to this balancer is cut. Packets of a flow whose owner was known were looked up as well, and never reached it.

Cause: lookups left out every agent whose last record says gone, whatever was heard of it since, and called themselves complete.

An agent now counts as left only if its record says gone and neither this balancer has heard it for LOST_AFTER (4 s) nor a digest of a peer names it. Until then it is asked, after all others; a living one answers by its own knowledge. A known owner gets its packets by the same rule. Digests name an agent that is gone only while it is heard (600 ms instead of 3 s), so that hosts that have left for good drop out of lookups at peers as well.

The price: for up to 4 s after a server and its agent have left for good, or some 5 s if digests still name it, a lookup that no server takes ends in silence at its host instead of a reset. It concerns only flows whose client got neither the server's end nor the resets of the agent and of the balancer that knew the owner.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -96,7 +96,13 @@
     fn lookup_candidates(&self, flow: &Flow, now: Instant) -> LookupCandidates {
         let may_serve = |service: &str| self.routes.may_serve(&flow.destination, service);
         let mut found = self.roster.lookup_candidates(may_serve, flow, now);
-        found.overdue.extend(self.named_agents.keys());
+        for agent in self.named_agents.keys() {
+            match self.roster.get(agent) {
+                None => found.overdue.push(*agent),
+                Some(_) if self.roster.left(agent, now) => found.ended.push(*agent),
+                Some(_) => {}
+            }
+        }
         found
     }
 
@@ -185,7 +191,7 @@
     ) {
         let flow = segment.flow;
         let found = self.lookup_candidates(&flow, now);
-        let owner = self.current_owner(&flow);
+        let owner = self.current_owner(&flow, now);
         let Some(tracked) = self.flows.get_mut(&flow) else {
             return;
         };
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -9,7 +9,7 @@
 use crate::steering::balancer_flow::BalancerFlow;
 use crate::steering::log_event::Topic;
 use crate::steering::message::{Announce, Digest, Message};
-use crate::steering::roster::{Entry, Member, Process, State};
+use crate::steering::roster::{Entry, Member, Process, State, OVERDUE_AFTER};
 
 use super::{log_event, Balancer, Output};
 
@@ -161,7 +161,7 @@
         }
         // An agent that only the peer knows announces itself once it has this balancer's address.
         for agent in digest.agents {
-            if self.roster.get(&agent).is_none() {
+            if self.roster.get(&agent).is_none() || self.roster.left(&agent, now) {
                 self.named_agents.insert(agent, now);
                 let balancers = self.balancers();
                 out.push(Output::Send(agent, Message::Balancers(balancers)));
@@ -173,11 +173,18 @@
     }
 
     fn digest(&self, now: Instant) -> Digest {
-        let heard = |at: &Instant| now.saturating_duration_since(*at) < Duration::from_secs(3);
+        // An agent whose server has ended often leaves as well. It isn't named for longer than it is
+        // heard, as peers ask the agents that are named.
+        let named_for = |entry: &Entry| match entry.member.state {
+            State::Gone => OVERDUE_AFTER,
+            _ => Duration::from_secs(3),
+        };
+        let heard =
+            |entry: &Entry| now.saturating_duration_since(entry.last_heard) < named_for(entry);
         let agents = self
             .roster
             .iter()
-            .filter(|entry| entry.heard_directly && heard(&entry.last_heard))
+            .filter(|entry| entry.heard_directly && heard(entry))
             .map(|entry| entry.member.agent)
             .collect();
         Digest {
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -17,7 +17,7 @@
 use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Topic};
 use crate::steering::message::{Forward, Message};
-use crate::steering::roster::{Roster, State};
+use crate::steering::roster::Roster;
 use crate::steering::routes::{Repeat, RouteTable, Routes};
 use crate::steering::segment::Segment;
 
@@ -40,7 +40,7 @@
 const CANDIDATES_MAX: usize = 64;
 /// Interval between digests to peers.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
-/// Agents that only peers know are removed when no digest has named them for this long.
+/// Agents that only peers hear are removed when no digest has named them for this long.
 const NAMED_AGENT_EXPIRY: Duration = Duration::from_secs(4);
 /// Peers not heard for this long are removed.
 const PEER_EXPIRY: Duration = Duration::from_secs(60);
@@ -77,8 +77,8 @@
     /// Ordered by `due`, because all of them wait for the same delay.
     placements: VecDeque<PendingPlacement>,
     peers: BTreeMap<SocketAddr, Instant>,
-    /// Agents that aren't in the roster although peers hear them, and when a digest last named
-    /// them. Their servers may hold flows that other balancers have placed.
+    /// Agents that peers hear although they aren't in the roster or have left by it, and when a
+    /// digest last named them. Their servers may hold flows that other balancers have placed.
     named_agents: BTreeMap<SocketAddr, Instant>,
     /// Whether a digest of a peer has arrived.
     digest_received: bool,
@@ -183,7 +183,7 @@
             tracked.acknowledged = segment.acknowledgement;
             tracked.select_acceptance(segment.acknowledgement);
         }
-        if let Some(owner) = self.current_owner(&flow) {
+        if let Some(owner) = self.current_owner(&flow, now) {
             let forward = self.forward(&flow, packet, Vec::new());
             out.push(Output::Send(owner.agent, Message::Forward(forward)));
             return;
@@ -256,11 +256,10 @@
         }
     }
 
-    /// Owner of a flow, unless its agent's record says that the server has ended.
-    fn current_owner(&self, flow: &Flow) -> Option<Owner> {
+    /// Owner of a flow, unless its agent has left.
+    fn current_owner(&self, flow: &Flow, now: Instant) -> Option<Owner> {
         self.flows.get(flow)?.owner.filter(|owner| {
-            let entry = self.roster.get(&owner.agent);
-            entry.is_some_and(|entry| entry.member.state != State::Gone)
+            self.roster.get(&owner.agent).is_some() && !self.roster.left(&owner.agent, now)
         })
     }
 
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -132,12 +132,20 @@
     pub overdue: Vec<SocketAddr>,
     /// Agents not heard for [`LOST_AFTER`].
     pub lost: Vec<SocketAddr>,
+    /// Agents whose server has announced its end. If they run, the next server of their host may
+    /// hold the flow; if they don't, they hold up a lookup, so they are asked after all others.
+    pub ended: Vec<SocketAddr>,
 }
 
 impl LookupCandidates {
     /// The groups of candidates in the order in which they are asked.
-    pub fn groups(&mut self) -> [&mut Vec<SocketAddr>; 3] {
-        [&mut self.responsive, &mut self.overdue, &mut self.lost]
+    pub fn groups(&mut self) -> [&mut Vec<SocketAddr>; 4] {
+        [
+            &mut self.responsive,
+            &mut self.overdue,
+            &mut self.lost,
+            &mut self.ended,
+        ]
     }
 }
 
@@ -292,19 +300,21 @@
         agents
     }
 
-    /// Agents that may hold an open flow: all whose server hasn't announced its end.
+    /// Agents that may hold an open flow: all except those that have [left](Self::left).
     pub fn lookup_candidates(
         &self,
         may_serve: impl Fn(&str) -> bool,
         flow: &Flow,
         now: Instant,
     ) -> LookupCandidates {
-        let mut order = self.ranked(flow, |entry| entry.member.state != State::Gone);
+        let mut order = self.ranked(flow, |entry| !left(entry, now));
         order.sort_by_key(|entry| (suspect(entry, now), !may_serve(&entry.member.service)));
         let mut candidates = LookupCandidates::default();
         for entry in order {
             let unheard = !entry.heard_directly || entry.member.state == State::Waiting;
-            let group = if silent(entry, now, LOST_AFTER) {
+            let group = if entry.member.state == State::Gone {
+                &mut candidates.ended
+            } else if silent(entry, now, LOST_AFTER) {
                 &mut candidates.lost
             } else if unheard || silent(entry, now, OVERDUE_AFTER) {
                 &mut candidates.overdue
@@ -316,6 +326,14 @@
         candidates
     }
 
+    /// Whether an agent hasn't been heard for [`LOST_AFTER`] since its server announced its end. A
+    /// record alone doesn't show that: it may be older than the server that runs now.
+    pub fn left(&self, agent: &SocketAddr, now: Instant) -> bool {
+        self.entries
+            .get(agent)
+            .is_some_and(|entry| left(entry, now))
+    }
+
     fn ranked(&self, flow: &Flow, fits: impl Fn(&Entry) -> bool) -> Vec<&Entry> {
         let bucket = Bucket(flow.hash() as u32);
         let mut order: Vec<_> = self.entries.values().filter(|entry| fits(entry)).collect();
@@ -326,6 +344,10 @@
     }
 }
 
+fn left(entry: &Entry, now: Instant) -> bool {
+    entry.member.state == State::Gone && silent(entry, now, LOST_AFTER)
+}
+
 fn suspect(entry: &Entry, now: Instant) -> bool {
     silent(entry, now, SUSPECT_AFTER)
 }
