Take only digests of peers that know all agents for discovery

A balancer that had just started could reset an open flow, reason=no_server_holds_it, without asking an agent that others knew: two balancers start together while the directory's list is old, and each takes the other's first digest for knowledge of all agents.

Cause: any digest ended the longer wait (2 s instead of 0.6 s) that a balancer without news from its peers observes before a lookup counts as proof.

A balancer now leaves itself out of the list of balancers in its digests until its own discovery is done, and a digest counts only if it names its sender.

The price: if all balancers start together, as after a power failure, their lookups end in resets after 2 s instead of 0.6 s.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -16,8 +16,8 @@
 /// server holds the flow. Agents that are missing in the directory have announced themselves by
 /// then.
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
-/// The same without any digest from a peer, which would name agents that this balancer doesn't
-/// know: the peers may not run.
+/// The same without a digest from a peer that knows all agents and would name those that this
+/// balancer doesn't know: the peers may not run, or have just started as well.
 const DISCOVERY_TIME_ALONE: Duration = Duration::from_secs(2);
 /// Packets that arrive within this time belong to one lookup: a client sends several at once, and
 /// retransmits the first after 200 ms at the earliest.
@@ -107,7 +107,7 @@
     }
 
     /// Whether this balancer has had the time to learn of all agents.
-    fn discovery_done(&self, now: Instant) -> bool {
+    pub(super) fn discovery_done(&self, now: Instant) -> bool {
         let time = match self.digest_received || self.peers.is_empty() {
             true => DISCOVERY_TIME,
             false => DISCOVERY_TIME_ALONE,
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -147,7 +147,8 @@
         out: &mut Vec<Output>,
     ) {
         self.peers.insert(from, now);
-        self.digest_received = true;
+        // A peer that has just started may know fewer agents than others.
+        self.digest_received |= digest.balancers.contains(&digest.source);
         // The sender has just started if it has heard no agent.
         if digest.agents.is_empty() && !self.roster.is_empty() {
             let reply = self.digest(now);
@@ -187,9 +188,13 @@
             .filter(|entry| entry.heard_directly && heard(entry))
             .map(|entry| entry.member.agent)
             .collect();
+        let mut balancers = self.balancers();
+        if !self.discovery_done(now) {
+            balancers.retain(|balancer| *balancer != self.address);
+        }
         Digest {
             generation: self.routes.generation(),
-            balancers: self.balancers(),
+            balancers,
             agents,
             source: self.address,
         }
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -80,7 +80,7 @@
     /// Agents that peers hear although they aren't in the roster or have left by it, and when a
     /// digest last named them. Their servers may hold flows that other balancers have placed.
     named_agents: BTreeMap<SocketAddr, Instant>,
-    /// Whether a digest of a peer has arrived.
+    /// Whether a digest has arrived from a peer that knew all agents.
     digest_received: bool,
     started: Instant,
     last_tick: Instant,
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -92,7 +92,7 @@
 pub struct Digest {
     /// Generation in force at the sender.
     pub generation: Generation,
-    /// The sender and the balancers that it knows.
+    /// The balancers that the sender knows, and the sender itself once it knows all agents.
     pub balancers: Vec<SocketAddr>,
     /// Agents that the sender itself has heard from recently.
     pub agents: Vec<SocketAddr>,
