--- a/src/steering/balancer/evidence.rs
+++ b/src/steering/balancer/evidence.rs
@@ -67,7 +67,7 @@
         let ended: Vec<_> = self
             .roster
             .iter()
-            .filter(|entry| entry.member.state == State::Gone)
+            .filter(|entry| self.roster.left(&entry.member.agent, now))
             .collect();
         let last_heard = ended.iter().map(|entry| entry.last_heard).max();
         let names: Vec<_> = ended
@@ -79,7 +79,7 @@
             "asked={} silent={} unheard={} ended={} ended_agents={} ended_heard_ms={} named={} \
              peers={} digest={} age_ms={} lookups={} lookup_ms={} \
              likely={} {}",
-            tracked.map_or(0, |tracked| tracked.asked),
+            tracked.map_or(0, |tracked| tracked.search.answers()),
             count(&|entry| heard_ago(entry.last_heard) > LOST_AFTER),
             count(&|entry| !entry.heard_directly),
             ended.len(),
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -9,7 +9,7 @@
 use crate::steering::balancer_flow::BalancerFlow;
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
-use crate::steering::roster::{Entry, Member, Process, State};
+use crate::steering::roster::{Entry, Member, Process, State, OVERDUE_AFTER};
 
 use super::evidence::Change;
 use super::{log_event, Balancer, Output};
@@ -167,7 +167,8 @@
         out: &mut Vec<Output>,
     ) {
         self.peers.insert(from, now);
-        self.digest_received = true;
+        // A peer that has just started may know fewer agents than others.
+        self.digest_received |= digest.balancers.contains(&digest.source);
         // The sender has just started if it has heard no agent.
         if digest.agents.is_empty() && !self.roster.is_empty() {
             let reply = self.digest(now);
@@ -181,7 +182,7 @@
         }
         // An agent that only the peer knows announces itself once it has this balancer's address.
         for agent in digest.agents {
-            if self.roster.get(&agent).is_none() {
+            if self.roster.get(&agent).is_none() || self.roster.left(&agent, now) {
                 self.named_agents.insert(agent, now);
                 let balancers = self.balancers();
                 out.push(Output::Send(agent, Message::Balancers(balancers)));
@@ -193,16 +194,27 @@
     }
 
     fn digest(&self, now: Instant) -> Digest {
-        let heard = |at: &Instant| now.saturating_duration_since(*at) < Duration::from_secs(3);
+        // An agent whose server has ended often leaves as well. It isn't named for longer than it is
+        // heard, as peers ask the agents that are named.
+        let named_for = |entry: &Entry| match entry.member.state {
+            State::Gone => OVERDUE_AFTER,
+            _ => Duration::from_secs(3),
+        };
+        let heard =
+            |entry: &Entry| now.saturating_duration_since(entry.last_heard) < named_for(entry);
         let agents = self
             .roster
             .iter()
-            .filter(|entry| entry.heard_directly && heard(&entry.last_heard))
+            .filter(|entry| entry.heard_directly && heard(entry))
             .map(|entry| entry.member.agent)
             .collect();
+        let mut balancers = self.balancers();
+        if !self.discovery_done(now) {
+            balancers.retain(|balancer| *balancer != self.address);
+        }
         Digest {
             generation: self.routes.generation(),
-            balancers: self.balancers(),
+            balancers,
             agents,
             source: self.address,
         }
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -15,10 +15,10 @@
 use crate::hash::hash_bytes;
 use crate::id::Generation;
 use crate::packet::Flow;
-use crate::steering::balancer_flow::BalancerFlow;
+use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Topic};
 use crate::steering::message::{Forward, Message};
-use crate::steering::roster::{Roster, State};
+use crate::steering::roster::Roster;
 use crate::steering::routes::{Repeat, RouteTable, Routes};
 use crate::steering::segment::Segment;
 
@@ -36,11 +36,12 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Flows without packets are removed after this time; their next packet causes a lookup.
 const FLOW_EXPIRY: Duration = Duration::from_secs(65);
-/// Maximum number of candidates in a forwarded packet, which keeps a datagram below 2 KB.
+/// Maximum number of candidates in a forwarded packet, which keeps a datagram below 2 KB. A lookup
+/// of more agents goes on with the next ones when the packet comes back.
 const CANDIDATES_MAX: usize = 64;
 /// Interval between digests to peers.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
-/// Agents that only peers know are removed when no digest has named them for this long.
+/// Agents that only peers hear are removed when no digest has named them for this long.
 const NAMED_AGENT_EXPIRY: Duration = Duration::from_secs(4);
 /// Peers not heard for this long are removed.
 const PEER_EXPIRY: Duration = Duration::from_secs(60);
@@ -77,10 +78,10 @@
     /// Ordered by `due`, because all of them wait for the same delay.
     placements: VecDeque<PendingPlacement>,
     peers: BTreeMap<SocketAddr, Instant>,
-    /// Agents that aren't in the roster although peers hear them, and when a digest last named
-    /// them. Their servers may hold flows that other balancers have placed.
+    /// Agents that peers hear although they aren't in the roster or have left by it, and when a
+    /// digest last named them. Their servers may hold flows that other balancers have placed.
     named_agents: BTreeMap<SocketAddr, Instant>,
-    /// Whether a digest of a peer has arrived.
+    /// Whether a digest has arrived from a peer that knew all agents.
     digest_received: bool,
     started: Instant,
     last_tick: Instant,
@@ -182,15 +183,11 @@
             tracked.last_packet_at = now;
             tracked.acknowledged = segment.acknowledgement;
             tracked.select_acceptance(segment.acknowledgement);
-            let owner = tracked.owner.filter(|owner| {
-                let entry = self.roster.get(&owner.agent);
-                entry.is_some_and(|entry| entry.member.state != State::Gone)
-            });
-            if let Some(owner) = owner {
-                let forward = self.forward(&flow, packet, Vec::new());
-                out.push(Output::Send(owner.agent, Message::Forward(forward)));
-                return;
-            }
+        }
+        if let Some(owner) = self.current_owner(&flow, now) {
+            let forward = self.forward(&flow, packet, Vec::new());
+            out.push(Output::Send(owner.agent, Message::Forward(forward)));
+            return;
         }
         self.lookup(segment, packet, now, out);
     }
@@ -260,6 +257,13 @@
         }
     }
 
+    /// Owner of a flow, unless its agent has left.
+    fn current_owner(&self, flow: &Flow, now: Instant) -> Option<Owner> {
+        self.flows.get(flow)?.owner.filter(|owner| {
+            self.roster.get(&owner.agent).is_some() && !self.roster.left(&owner.agent, now)
+        })
+    }
+
     /// Whether packets may have waited in the receive queue while the process was suspended.
     fn reads_backlog(&self, now: Instant) -> bool {
         let suspended = now.saturating_duration_since(self.last_tick) > PAUSE_MIN;
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -6,6 +6,7 @@
 use strum::Display;
 
 use super::roster::Process;
+use super::search::Search;
 
 /// Time before a client sends the first copy of its opening packet.
 const FIRST_COPY_AFTER: Duration = Duration::from_millis(200);
@@ -66,10 +67,10 @@
     pub first_packet_at: Instant,
     /// Number of lookups begun since the last report of the owner.
     pub lookups: u32,
-    /// Number of agents that the last lookup asks.
-    pub asked: usize,
     /// When the last lookup began.
     pub lookup_started: Option<Instant>,
+    /// Answers to the lookups since the last report of an owner.
+    pub search: Search,
     /// When the last packet of the flow arrived.
     pub last_packet_at: Instant,
 }
@@ -87,8 +88,8 @@
             tried_agents: Vec::new(),
             first_packet_at: now,
             lookups: 0,
-            asked: 0,
             lookup_started: None,
+            search: Search::default(),
             last_packet_at: now,
         }
     }
