Show resets of flows whose client uses a port again

Callers could see a new flow reset, or left without answers, if its client uses a port again within 65 s.

That clients outside use ports again so soon was not seen.

--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod resets;
+mod used_ports;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
 use flamingofall::packet::Flow;
