Aim the emulator at resets of open flows

The random mixtures seldom made the conditions of the incident's hypotheses. New events: mute_pairs and deaf_pairs (one-way loss between an agent and a balancer), replace_servers, drain_successors, set_clocks_back. The key `ports` lets clients use ports in turn.

A lost direction counts as a fault of both hosts, a crash and a clock step as one of their host, for 4 s after their end, like the former faults.

Not modelled: clocks of balancers, late notices of a server's end.

--- a/emulator/src/check.rs
+++ b/emulator/src/check.rs
@@ -159,6 +159,11 @@
         self.allowed.insert((address, service.to_owned()));
     }
 
+    /// Records that a client uses the addresses and ports of an earlier flow, which has ended.
+    pub fn port_reused(&mut self, flow: &Flow) {
+        self.misrouted.remove(flow);
+    }
+
     /// Records that a client's packet reaches a server.
     pub fn packet_arrived(&mut self, arrival: &Arrival<'_>, now: Duration) -> Option<Violation> {
         let flow = arrival.flow;
--- a/emulator/src/cli.rs
+++ b/emulator/src/cli.rs
@@ -72,6 +72,10 @@
     #[argh(option, default = "20")]
     runs: u64,
 
+    /// draw the kinds of events that aim at resets of open flows
+    #[argh(switch)]
+    aimed: bool,
+
     /// write the log lines of all processes in the first run to a file, for `flamingofall explain`
     #[argh(option)]
     log: Option<PathBuf>,
@@ -147,16 +151,16 @@
 
 fn mix(command: &MixCommand) -> Result<()> {
     let scenario = Scenario::read(&command.scenario)?;
+    let mixture = |seed| match command.aimed {
+        true => scenario.with_aimed_events(seed),
+        false => scenario.with_random_events(seed),
+    };
     if let Some(path) = &command.log {
-        write_log(
-            path,
-            scenario.with_random_events(command.seed),
-            command.seed,
-        )?;
+        write_log(path, mixture(command.seed), command.seed)?;
     }
     let seeds: Vec<u64> = (command.seed..command.seed + command.runs).collect();
     let reports = experiment::run_parallel(&seeds, worker_threads(), |seed| {
-        simulation::simulate(scenario.with_random_events(*seed), *seed)
+        simulation::simulate(mixture(*seed), *seed)
     });
     let mut violations = 0;
     for (seed, report) in seeds.iter().zip(&reports) {
@@ -166,7 +170,7 @@
         }
         if !report.violations.is_empty() {
             violations += report.violations.len();
-            for event in scenario.with_random_events(*seed).events {
+            for event in mixture(*seed).events {
                 println!("seed={seed} event={}", serde_json::to_string(&event)?);
             }
         }
--- a/emulator/src/client.rs
+++ b/emulator/src/client.rs
@@ -52,14 +52,23 @@
     pub retries_sent_requests: bool,
     /// Time from the start of a request after which the client gives it up.
     pub deadline: Duration,
+    /// Number of ports that the client uses in turn; 0 for all of them.
+    pub ports: u16,
 }
 
+/// Distance between the sequence numbers of flows that use the same port.
+const SEQUENCE_STEP: u32 = 1_000_000;
+/// First port of a client.
+const PORT_MIN: u16 = 1024;
+
 /// The model of a client. Its methods return the packets that it sends.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
     ip: Ipv4Addr,
     port: u16,
+    /// Sequence number of the current flow's packets. Flows on the same port differ in it.
+    initial_sequence: u32,
     options: ClientOptions,
     flow_state: FlowState,
     /// The request in progress, if any.
@@ -87,7 +96,8 @@
         Self {
             address,
             ip,
-            port: 1024,
+            port: PORT_MIN,
+            initial_sequence: 1,
             options,
             flow_state: FlowState::Closed,
             request: None,
@@ -128,7 +138,12 @@
     }
 
     fn open_flow(&mut self, now: Duration) -> Vec<Packet> {
-        self.port = self.port.checked_add(1).unwrap_or(1024);
+        let last = PORT_MIN.saturating_add(self.options.ports);
+        if self.options.ports > 0 && self.port >= last {
+            self.port = PORT_MIN;
+            self.initial_sequence = self.initial_sequence.wrapping_add(SEQUENCE_STEP);
+        }
+        self.port = self.port.checked_add(1).unwrap_or(PORT_MIN);
         self.flow_state = FlowState::Opening {
             since: now,
             retransmissions: 0,
@@ -269,7 +284,7 @@
             client: self.source(),
             address: self.address,
             action,
-            sequence: 1,
+            sequence: self.initial_sequence,
             acknowledgement,
             request,
         }
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -37,6 +37,8 @@
     pub loss: f64,
     /// Time after which a client gives a request up, in milliseconds.
     pub deadline_ms: u64,
+    /// Number of ports that a client uses in turn for its flows; 0 for all of them.
+    pub ports: u16,
     /// Duration of the traffic in seconds, after [`WARM_UP_S`] without any.
     pub length_s: f64,
     /// Faults and planned changes.
@@ -61,6 +63,7 @@
             delay_ms: 3.0,
             loss: 0.001,
             deadline_ms: 2000,
+            ports: 0,
             length_s: 20.0,
             events: Vec::new(),
         }
@@ -143,8 +146,45 @@
     /// A new configuration sends flows of the first route to the first two services, with other
     /// weights each time.
     ChangeWeights,
+    /// What an agent sends to one balancer is lost; each agent has another balancer.
+    MutePairs,
+    /// What one balancer sends to an agent is lost; each agent has another balancer.
+    DeafPairs,
+    /// Servers drain and exit; their agents go on, and other servers start on the hosts at once.
+    ReplaceServers,
+    /// Servers crash, and others start on the hosts at once. Those take flows before their first
+    /// heartbeat, and drain `for_s` seconds later.
+    DrainSuccessors,
+    /// Agents are killed, and the clocks of their hosts go back by `x` seconds before they start
+    /// again.
+    SetClocksBack,
 }
 
+impl EventKind {
+    /// Whether only [`Scenario::with_aimed_events`] draws the kind.
+    fn is_aimed(self) -> bool {
+        matches!(
+            self,
+            Self::MutePairs
+                | Self::DeafPairs
+                | Self::ReplaceServers
+                | Self::DrainSuccessors
+                | Self::SetClocksBack
+        )
+    }
+}
+
+/// Kinds that [`Scenario::with_aimed_events`] draws besides the aimed ones: they send packets of
+/// open flows through other balancers, or end servers.
+const AIMED_COMPANIONS: [EventKind; 6] = [
+    EventKind::RestartBalancers,
+    EventKind::KillBalancers,
+    EventKind::FreezeBalancers,
+    EventKind::KillAgents,
+    EventKind::DrainServers,
+    EventKind::AddServers,
+];
+
 /// Share of the traffic after which no series of random events begins, so that the run also covers
 /// the recovery.
 const MIX_START_SHARE_MAX: f64 = 0.6;
@@ -157,8 +197,19 @@
     /// Returns the scenario with random series of events added, which may overlap. The same seed
     /// gives the same events.
     pub fn with_random_events(&self, seed: u64) -> Self {
+        let kinds: Vec<_> = EventKind::iter().filter(|kind| !kind.is_aimed()).collect();
+        self.with_events_of(&kinds, seed)
+    }
+
+    /// Like [`Self::with_random_events`], of the kinds that aim at resets of open flows.
+    pub fn with_aimed_events(&self, seed: u64) -> Self {
+        let aimed = EventKind::iter().filter(|kind| kind.is_aimed());
+        let kinds: Vec<_> = aimed.chain(AIMED_COMPANIONS).collect();
+        self.with_events_of(&kinds, seed)
+    }
+
+    fn with_events_of(&self, kinds: &[EventKind], seed: u64) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
-        let kinds: Vec<_> = EventKind::iter().collect();
         let mut scenario = self.clone();
         for _ in 0..random.random_range(2..=MIX_SERIES_MAX) {
             let Some(kind) = kinds.choose(&mut random).copied() else {
--- a/emulator/src/server.rs
+++ b/emulator/src/server.rs
@@ -94,6 +94,14 @@
         self.flows.get(flow).is_some_and(|(_, open)| *open)
     }
 
+    /// Ends the flow without a packet, as if it had expired.
+    pub fn expire(&mut self, flow: &Flow) {
+        self.flows.remove(flow);
+        self.closed.remove(flow);
+        self.last_request.remove(flow);
+        self.last_answer.remove(flow);
+    }
+
     /// Creates the next heartbeat for the agent.
     pub fn heartbeat(&mut self) -> Heartbeat {
         self.heartbeat_sequence += 1;
--- a/emulator/src/simulation/agents.rs
+++ b/emulator/src/simulation/agents.rs
@@ -21,7 +21,7 @@
     /// Starts an agent that knows the first three balancers; the directory names the others.
     pub(super) fn start_agent(&mut self, index: usize) {
         let now = self.instant();
-        let incarnation = Incarnation(self.now.as_millis() as u64 + 1);
+        let incarnation = Incarnation(self.hosts[index].clock(self.now).as_millis() as u64 + 1);
         let known_balancers: Vec<_> = self
             .balancers
             .iter()
@@ -147,19 +147,20 @@
         }
     }
 
-    pub(super) fn start_server(&mut self, index: usize) {
-        let started = self.now.as_millis() as u64;
+    /// Starts a server that sends its first heartbeat after the time given.
+    pub(super) fn start_server(&mut self, index: usize, first_heartbeat: Duration) {
+        let started = self.hosts[index].clock(self.now).as_millis() as u64;
         let limits = (
             self.scenario.slots,
             self.scenario.queue,
             Duration::from_millis(self.scenario.work_ms),
         );
         let host = &mut self.hosts[index];
-        let name = format!("server-{index}-{started}");
+        let name = format!("server-{index}-{}", self.now.as_millis());
         let server = Server::new(name.clone(), host.service.clone(), started, limits);
         host.server = Some(server);
         host.draining_since = None;
-        self.schedule_after(Duration::ZERO, Event::Heartbeat(index, name));
+        self.schedule_after(first_heartbeat, Event::Heartbeat(index, name));
     }
 
     /// Sends the server's heartbeat to its agent, unless the agent is suspended or doesn't run. The
@@ -184,7 +185,7 @@
         self.schedule_after(HEARTBEAT_INTERVAL, Event::Heartbeat(index, name.to_owned()));
     }
 
-    /// Ends a server after its drain, and with it its agent.
+    /// Ends a server after its drain, and with it its agent unless another server follows.
     pub(super) fn server_exit(&mut self, index: usize, name: &str) {
         let now = self.instant();
         let host = &mut self.hosts[index];
@@ -196,6 +197,10 @@
             state_machine.server_left(name, now, &mut out);
         }
         self.apply_agent_outputs(index, out);
+        if std::mem::take(&mut self.hosts[index].replaced) {
+            self.schedule_after(Duration::ZERO, Event::StartSilentServer(index));
+            return;
+        }
         self.hosts[index].state_machine = None;
     }
 
--- a/emulator/src/simulation/balancers.rs
+++ b/emulator/src/simulation/balancers.rs
@@ -1,6 +1,7 @@
 //! Events of balancers, and what balancers and agents send to other hosts.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use flamingofall::packet::Flow;
 use flamingofall::steering::balancer::{self, Balancer};
@@ -124,7 +125,10 @@
         self.report.messages += 1;
         let connected =
             self.faults(from).can_send(self.now) && self.faults(to).can_receive(self.now);
-        if !connected {
+        let muted = |(sender, receiver, until): &(SocketAddr, SocketAddr, Duration)| {
+            (*sender, *receiver) == (from, to) && self.now < *until
+        };
+        if !connected || self.muted_pairs.iter().any(muted) {
             return;
         }
         let Some(delay) = self.link_delay() else {
--- a/emulator/src/simulation/clients.rs
+++ b/emulator/src/simulation/clients.rs
@@ -5,7 +5,7 @@
 use flamingofall::steering::balancer::Balancer;
 
 use crate::client::{Outcome, Request};
-use crate::packet::Packet;
+use crate::packet::{Action, Packet};
 use crate::scenario::WARM_UP_S;
 
 use super::{client_index, Event, Simulation, READINESS_CHECK_INTERVAL};
@@ -50,12 +50,31 @@
 
     pub(super) fn send_from_client(&mut self, packets: Vec<Packet>) {
         for packet in packets {
+            self.end_earlier_flow(&packet);
             if let Some(delay) = self.link_delay() {
                 self.schedule_after(delay, Event::PacketFromClient(packet));
             }
         }
     }
 
+    /// Ends the earlier flow at its server when its client uses the port again: clients do so only
+    /// after that flow's lifetime.
+    fn end_earlier_flow(&mut self, packet: &Packet) {
+        let first_copy = packet.action == Action::Open && packet.acknowledgement == 0;
+        if self.scenario.ports == 0 || !first_copy {
+            return;
+        }
+        let flow = packet.flow();
+        self.checker.port_reused(&flow);
+        for server in self
+            .hosts
+            .iter_mut()
+            .filter_map(|host| host.server.as_mut())
+        {
+            server.expire(&flow);
+        }
+    }
+
     pub(super) fn start_request(&mut self, index: usize) {
         self.next_id += 1;
         self.report.asked += 1;
--- a/emulator/src/simulation/faults.rs
+++ b/emulator/src/simulation/faults.rs
@@ -61,6 +61,16 @@
                 .iter_mut()
                 .for_each(|host| host.grey_until = until),
             EventKind::Burst => self.burst = until.map(|until| (until, factor)),
+            EventKind::MutePairs => (0..hosts).for_each(|i| self.mute_pair(i, duration, true)),
+            EventKind::DeafPairs => (0..hosts).for_each(|i| self.mute_pair(i, duration, false)),
+            EventKind::ReplaceServers => (0..hosts).for_each(|i| self.replace_server(i)),
+            EventKind::DrainSuccessors => {
+                (0..hosts).for_each(|i| self.drain_successor(i, duration))
+            }
+            EventKind::SetClocksBack => {
+                let back = Duration::from_secs_f64(factor);
+                (0..hosts).for_each(|i| self.set_clock_back(i, back));
+            }
             EventKind::LossyLinks => self.extra_loss = until.map(|until| (until, event.intensity)),
         }
     }
@@ -99,6 +109,49 @@
         self.schedule_after(duration + RESTART_DELAY, Event::StartServer(index));
     }
 
+    /// Drops everything that the agent sends to one balancer, or the other way round.
+    fn mute_pair(&mut self, index: usize, duration: Duration, from_agent: bool) {
+        let until = self.now + duration;
+        let other = index % self.balancers.len();
+        let (host, balancer) = (&mut self.hosts[index], &mut self.balancers[other]);
+        host.faults.pair_muted = host.faults.pair_muted.max(Some(until));
+        balancer.faults.pair_muted = balancer.faults.pair_muted.max(Some(until));
+        let (from, to) = match from_agent {
+            true => (host.address, balancer.address),
+            false => (balancer.address, host.address),
+        };
+        self.muted_pairs.retain(|(_, _, end)| *end > self.now);
+        self.muted_pairs.push((from, to, until));
+    }
+
+    /// Drains the server, and starts another one on the host when it exits. Does nothing to a host
+    /// without a server or an agent.
+    fn replace_server(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        if host.server.is_some() && host.state_machine.is_some() {
+            host.replaced = true;
+            self.drain_server(index);
+        }
+    }
+
+    /// Ends the server's process without warning, starts another one at once, and drains that one
+    /// after the time given. The crash is a fault of the host.
+    fn drain_successor(&mut self, index: usize, drain_after: Duration) {
+        let host = &mut self.hosts[index];
+        if host.server.take().is_none() {
+            return;
+        }
+        host.faults.killed = host.faults.killed.max(Some(self.now));
+        self.schedule_after(Duration::ZERO, Event::StartSilentServer(index));
+        self.schedule_after(drain_after, Event::DrainServer(index));
+    }
+
+    /// Kills the agent's process, and starts it again with a clock that has gone back.
+    fn set_clock_back(&mut self, index: usize, back: Duration) {
+        self.hosts[index].clock_behind += back;
+        self.kill_agent(index, Duration::ZERO);
+    }
+
     /// Kills the processes of all hosts except those without a server. Servers start 50 ms after
     /// their agents.
     pub(super) fn power_off(&mut self, duration: Duration) {
--- a/emulator/src/simulation/mod.rs
+++ b/emulator/src/simulation/mod.rs
@@ -84,6 +84,10 @@
     StopBalancer(usize),
     StartAgent(usize),
     StartServer(usize),
+    /// A server starts whose first heartbeat is a whole interval away.
+    StartSilentServer(usize),
+    /// The server begins to drain.
+    DrainServer(usize),
     /// The server with this name exits at the end of its drain.
     ServerExit(usize, String),
     /// A call to the directory, made by the process with this start count, returns.
@@ -112,6 +116,8 @@
     killed: Option<Duration>,
     /// The host is cut off.
     partition: Option<(Duration, Partition)>,
+    /// A link of the host to a single other host loses everything in one direction.
+    pair_muted: Option<Duration>,
 }
 
 impl HostFaults {
@@ -126,6 +132,7 @@
             self.frozen,
             self.killed,
             self.partition.map(|(until, _)| until),
+            self.pair_muted,
         ];
         let last = ends.into_iter().flatten().max();
         last.is_none_or(|until| until + STABLE_AFTER < now)
@@ -170,6 +177,17 @@
     slowdown: Option<(Duration, u32)>,
     /// End of the time in which the server leaves some requests unanswered.
     grey_until: Option<Duration>,
+    /// Whether another server starts on the host when this one exits after its drain.
+    replaced: bool,
+    /// Time by which the host's clock has gone back.
+    clock_behind: Duration,
+}
+
+impl ServerHost {
+    /// Time on the host's clock, from the start of the run.
+    fn clock(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.clock_behind)
+    }
 }
 
 /// A run of a scenario in progress.
@@ -197,6 +215,8 @@
     burst: Option<(Duration, f64)>,
     /// End of the increased packet loss, and the share of datagrams lost.
     extra_loss: Option<(Duration, f64)>,
+    /// Pairs of sender and receiver between which everything is lost until the time given.
+    muted_pairs: Vec<(SocketAddr, SocketAddr, Duration)>,
     end: Duration,
     /// Id of the last request.
     next_id: u64,
@@ -295,6 +315,7 @@
             checker: Checker::new(DRAIN_GRACE),
             burst: None,
             extra_loss: None,
+            muted_pairs: Vec::new(),
             end,
             next_id: 0,
             report: Report::new(),
@@ -315,6 +336,7 @@
                 flow_per_request: simulation.random.random_bool(simulation.scenario.fresh),
                 retries_sent_requests: simulation.random.random_bool(simulation.scenario.repeats),
                 deadline: Duration::from_millis(simulation.scenario.deadline_ms),
+                ports: simulation.scenario.ports,
             };
             let target = service_address(index % simulation.scenario.servers.len());
             let client = Client::new(client_ip(index), target, options);
@@ -436,6 +458,8 @@
             faults: HostFaults::default(),
             slowdown: None,
             grey_until: None,
+            replaced: false,
+            clock_behind: Duration::ZERO,
         });
         self.schedule_after(Duration::ZERO, Event::StartAgent(index));
         self.schedule_after(Duration::from_millis(50), Event::StartServer(index));
@@ -488,7 +512,9 @@
             Event::StartBalancer(index) => self.start_balancer(index),
             Event::StopBalancer(index) => self.kill_balancer(index, Duration::ZERO),
             Event::StartAgent(index) => self.start_agent(index),
-            Event::StartServer(index) => self.start_server(index),
+            Event::StartServer(index) => self.start_server(index, Duration::ZERO),
+            Event::StartSilentServer(index) => self.start_server(index, HEARTBEAT_INTERVAL),
+            Event::DrainServer(index) => self.drain_server(index),
             Event::ServerExit(index, name) => self.server_exit(index, &name),
             Event::BalancerReadsDirectory(index, starts) => {
                 self.balancer_reads_directory(index, starts)
--- a/soak/src/run/mod.rs
+++ b/soak/src/run/mod.rs
@@ -267,6 +267,7 @@
         });
         let address = index % ADDRESSES.len();
         let options = ClientOptions {
+            ports: 0,
             flow_per_request: address == REROUTED_ADDRESS || self.random.random_bool(0.3),
             retries_sent_requests: self.random.random_bool(0.6),
             deadline: REQUEST_DEADLINE,
