--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod identity;
 mod resets;
+mod used_ports;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
 use flamingofall::packet::Flow;
