--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -103,6 +103,8 @@
     member: Member,
     /// Sequence number of the last heartbeat of the server's process.
     server_sequence: u64,
+    /// Number of heartbeats that the server's process has sent.
+    server_heartbeats: u32,
     last_heartbeat: Option<Instant>,
     heartbeat_interval: Duration,
     flows: HashMap<Flow, AgentFlow>,
@@ -149,6 +151,7 @@
                 slots: Slots(1),
             },
             server_sequence: 0,
+            server_heartbeats: 0,
             last_heartbeat: None,
             heartbeat_interval,
             flows: HashMap::new(),
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -45,6 +45,10 @@
             self.end_server_flows("replaced", keep, out);
         }
         self.server_sequence = heartbeat.sequence;
+        self.server_heartbeats = match same {
+            true => self.server_heartbeats.saturating_add(1),
+            false => 1,
+        };
         self.last_heartbeat = Some(now);
         let mut member = self.member.clone();
         member.server = heartbeat.server;
--- a/src/steering/snapshot.rs
+++ b/src/steering/snapshot.rs
@@ -14,6 +14,9 @@
 pub struct Snapshot {
     /// Server process that holds the flows.
     pub process: Process,
+    /// Start of that process in Unix milliseconds; zero if not known.
+    #[serde(default)]
+    pub started: u64,
     /// Open flows of the process, ordered by client.
     pub flows: Vec<SavedFlow>,
 }
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -8,6 +8,7 @@
 use flamingofall::steering::message::{self, Message};
 use flamingofall::steering::roster::State;
 use flamingofall::steering::segment::Kind;
+use flamingofall::steering::snapshot::{SavedFlow, Snapshot};
 
 use super::fixture::*;
 
@@ -281,3 +282,34 @@
     agent.packet_returned(data, token, vec![1], &mut out);
     assert_eq!(agent_resets(&out), 0);
 }
+
+// Guards against resets of all flows of a living server when a delayed heartbeat of an earlier one
+// is the first that a restarted agent gets, and against a snapshot that is never resolved after the
+// host's clock was set back.
+#[test]
+fn delayed_heartbeat() {
+    let now = Instant::now();
+    let mut process = member(1, "portal", State::Ready);
+    (process.server, process.started) = ("b".into(), 2);
+    for (second, expected) in [(("b", 2), 0), (("a", 1), 1)] {
+        let mut agent = new_agent(2, now);
+        let saved = SavedFlow {
+            client: flow(1).source,
+            address: flow(1).destination,
+            acknowledged: 5,
+        };
+        let snapshot = Snapshot {
+            process: process.process(),
+            started: 2,
+            flows: vec![saved],
+        };
+        let mut out = Vec::new();
+        agent.restore(snapshot, now, &mut out);
+        let first = heartbeat("a", 1, 5, State::Ready);
+        agent.heartbeat(first, now, &mut out);
+        assert_eq!(agent_resets(&out), 0);
+        let second = heartbeat(second.0, second.1, 6, State::Ready);
+        agent.heartbeat(second, now, &mut out);
+        assert_eq!(agent_resets(&out), expected);
+    }
+}
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -346,6 +346,7 @@
         };
         let snapshot = Snapshot {
             process,
+            started: 0,
             flows: vec![saved],
         };
         let mut out = Vec::new();
