Take a server that started before its predecessor, once that is silent

A heartbeat with an earlier start than the current process's was outdated for good. If the host's clock was set back between two servers, the second one got no flows until its agent started again.

Such a process is now taken once the current one has missed its heartbeats and the other has sent two with rising numbers. A single heartbeat may be a delayed one and is still ignored, as late_heartbeat tests.

Without the rule all four heartbeats were outdated; with it the fourth, 2.4 s after the predecessor's last one, is accepted.

Not measured: a clock step in a whole system.

--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -106,6 +106,8 @@
     /// Number of heartbeats that the server's process has sent.
     server_heartbeats: u32,
     last_heartbeat: Option<Instant>,
+    /// The last ignored heartbeat of a process that started earlier than the current one.
+    earlier_heartbeat: Option<Heartbeat>,
     heartbeat_interval: Duration,
     flows: HashMap<Flow, AgentFlow>,
     /// Delivered packets; the packet of `token` is at `token % PENDING_MAX`.
@@ -153,6 +155,7 @@
             server_sequence: 0,
             server_heartbeats: 0,
             last_heartbeat: None,
+            earlier_heartbeat: None,
             heartbeat_interval,
             flows: HashMap::new(),
             pending: (0..PENDING_MAX).map(|_| None).collect(),
@@ -303,10 +306,7 @@
             ));
             self.last_heartbeat = self.last_heartbeat.map(|heard| heard + pause);
         }
-        let silent = self.last_heartbeat.is_some_and(|heard| {
-            now.saturating_duration_since(heard) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
-        });
-        if silent && self.member.state == State::Ready {
+        if self.heartbeats_missing(now) && self.member.state == State::Ready {
             self.set_state(State::Waiting, "heartbeats_missing", now, out);
         }
         if now >= self.announce_due {
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -9,7 +9,10 @@
 use crate::steering::message::{Announce, Message, LIST_WANTED};
 use crate::steering::roster::{Member, State};
 
-use super::{log_event, owner, Agent, Heartbeat, HeartbeatOutcome, Output, BALANCER_RENEWAL};
+use super::{
+    log_event, owner, Agent, Heartbeat, HeartbeatOutcome, Output, BALANCER_RENEWAL,
+    MISSED_HEARTBEATS_MAX,
+};
 
 /// Interval between announcements to each balancer.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
@@ -26,7 +29,8 @@
         let same =
             heartbeat.server == self.member.server && heartbeat.started == self.member.started;
         let late = same && heartbeat.sequence <= self.server_sequence;
-        if heartbeat.started < self.member.started || late {
+        let earlier = heartbeat.started < self.member.started;
+        if late || earlier && !self.succeeds_silent_server(&heartbeat, now) {
             out.push(log_event(
                 Topic::HeartbeatIgnored,
                 format!(
@@ -62,6 +66,28 @@
         HeartbeatOutcome::Accepted
     }
 
+    /// Whether a process that started earlier than the current one is its successor all the same,
+    /// because the host's clock was set back: it goes on sending heartbeats while the current one is
+    /// silent. A single heartbeat may be a delayed one of an earlier process.
+    fn succeeds_silent_server(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let process = |h: &Heartbeat| (h.server.clone(), h.started);
+        let continues = self.earlier_heartbeat.take().is_some_and(|last| {
+            process(&last) == process(heartbeat) && last.sequence < heartbeat.sequence
+        });
+        let succeeds = continues && self.heartbeats_missing(now);
+        if !succeeds {
+            self.earlier_heartbeat = Some(heartbeat.clone());
+        }
+        succeeds
+    }
+
+    /// Whether the server's process has been silent for [`MISSED_HEARTBEATS_MAX`] intervals.
+    pub(super) fn heartbeats_missing(&self, now: Instant) -> bool {
+        self.last_heartbeat.is_some_and(|heard| {
+            now.saturating_duration_since(heard) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
+        })
+    }
+
     /// Handles the server's notice that it ends: resets its flows. Later packets go to the next
     /// candidate. `started` is the start of the server's process in Unix milliseconds, if the notice
     /// tells it; a later process may have the same name.
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use flamingofall::id::Incarnation;
-use flamingofall::steering::agent::{self, Agent};
+use flamingofall::steering::agent::{self, Agent, HeartbeatOutcome};
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::{self, Message};
 use flamingofall::steering::roster::State;
@@ -313,3 +313,22 @@
         assert_eq!(agent_resets(&out), expected);
     }
 }
+
+// Guards against a server that gets no flows for as long as its agent runs, because it started
+// after the host's clock was set back.
+#[test]
+fn started_before_predecessor() {
+    let now = Instant::now();
+    let mut agent = new_agent(1, now);
+    let out = &mut Vec::new();
+    agent.heartbeat(heartbeat("a", 9, 1, State::Ready), now, out);
+    let successor = |sequence| heartbeat("b", 5, sequence, State::Ready);
+    let outcomes = [(700, 1), (1500, 2), (1600, 2), (2400, 3)].map(|(millis, sequence)| {
+        let at = now + Duration::from_millis(millis);
+        agent.heartbeat(successor(sequence), at, out)
+    });
+    let outdated = HeartbeatOutcome::Outdated;
+    let expected = [outdated, outdated, outdated, HeartbeatOutcome::Accepted];
+    assert_eq!(outcomes, expected);
+    assert_eq!(agent.member().server, "b");
+}
