--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -103,7 +103,11 @@
     member: Member,
     /// Sequence number of the last heartbeat of the server's process.
     server_sequence: u64,
+    /// Number of heartbeats that the server's process has sent.
+    server_heartbeats: u32,
     last_heartbeat: Option<Instant>,
+    /// The last ignored heartbeat of a process that started earlier than the current one.
+    earlier_heartbeat: Option<Heartbeat>,
     heartbeat_interval: Duration,
     flows: HashMap<Flow, AgentFlow>,
     /// Delivered packets; the packet of `token` is at `token % PENDING_MAX`.
@@ -149,7 +153,9 @@
                 slots: Slots(1),
             },
             server_sequence: 0,
+            server_heartbeats: 0,
             last_heartbeat: None,
+            earlier_heartbeat: None,
             heartbeat_interval,
             flows: HashMap::new(),
             pending: (0..PENDING_MAX).map(|_| None).collect(),
@@ -300,10 +306,7 @@
             ));
             self.last_heartbeat = self.last_heartbeat.map(|heard| heard + pause);
         }
-        let silent = self.last_heartbeat.is_some_and(|heard| {
-            now.saturating_duration_since(heard) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
-        });
-        if silent && self.member.state == State::Ready {
+        if self.heartbeats_missing(now) && self.member.state == State::Ready {
             self.set_state(State::Waiting, "heartbeats_missing", now, out);
         }
         if now >= self.announce_due {
