Keep one part for all packets that ask the same agents

With more than 64 agents, a client that sends many packets at once could make its balancer forget the parts of the lookup that were under way: returned packets were then dropped, and the flow waited for its client's retransmission.

Cause: only the latest part was used again for the same agents. Packets that begin a lookup and packets that go on with one alternate, so each of them made a new part, and eight of them displaced the first.

Any kept part is now used again for the same agents in the same order.

Evidence: many_packets of tests/steering/completeness.rs, with 20 packets under way, fails before at a returned packet that leads to nothing, and passes now.

--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -47,14 +47,12 @@
         }
     }
 
-    /// Records that `agents` get a packet. Returns the number of the part; packets for the same
-    /// agents, one after the other, are one part.
+    /// Records that `agents` get a packet. Returns the number of the part; all packets for the same
+    /// agents are one part.
     pub fn send(&mut self, agents: &[SocketAddr], now: Instant) -> u8 {
         self.started.get_or_insert(now);
-        if let Some(part) = self.parts.back() {
-            if part.agents == agents {
-                return part.number;
-            }
+        if let Some(part) = self.parts.iter().find(|part| part.agents == agents) {
+            return part.number;
         }
         let number = self.next_number;
         self.next_number = number.wrapping_add(1);
--- a/tests/steering/completeness.rs
+++ b/tests/steering/completeness.rs
@@ -130,6 +130,25 @@
     assert_eq!(resets(&exhaust(&mut balancer, data, rest.1, now)), 1);
 }
 
+// Guards against lookups of a client that sends many packets at once which forget the parts under
+// way before they are returned.
+#[test]
+fn many_packets() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(1);
+    let mut balancer = balancer(100, start);
+    let data = segment(flow(1), Kind::Data, 5);
+    let mut first_parts = Vec::new();
+    for _ in 0..20 {
+        first_parts.extend(client_packet(&mut balancer, data, now));
+    }
+    for (_, forward) in first_parts {
+        let out = exhaust(&mut balancer, data, forward, now);
+        assert_eq!(asked(&forwards(&out)[0]).len(), 36);
+        client_packet(&mut balancer, data, now);
+    }
+}
+
 // Guards against a reset although an agent has appeared since the lookup began: its server may hold
 // the flow.
 #[test]
