Add a failing test of an acceptance before the first heartbeat

A client whose flow was accepted by a server's new process gets a reset with reason=server_ended a few milliseconds later, although the process serves it.

Cause, not fixed here: the agent reports an acceptance with the process that it knows, the previous one if the new process has sent no heartbeat yet. The client's choice makes that report the owner. At the first heartbeat the agent keeps the flow, but reports it again with the new process only if the server has already sent another packet than its acceptance. The announcement of the new process then makes the balancer reset the flow.

At 16.27 s balancer 0 places a flow, 3 ms later it resets it: process=...d135 before=...d135 after=...11b8 state=ready proof=choice owner_ms=1; server-4-0 holds it. The same at 19.63 s by balancer 3.

--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -2,6 +2,7 @@
 
 mod evidence;
 mod fixture;
+mod renewed;
 mod resets;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
