Renew servers in the soak, and let faults begin later

The soak gave each server a new name, started successors after a pause and sent the notice of an end once, at once. So it couldn't reach a server that starts again under its name beside a living agent, a first heartbeat that comes after the first flow, or a notice that arrives after the successor has started; and all faults began within the first minute.

The first heartbeat comes within an interval, the former process's notice is up to 2 s late or never sent, and the servers drain up to 5 s later and are replaced.

The soak's notices name the start of their process in `born`, as heartbeats do; the agent doesn't read it. Whether every server of the platform sends it in its notice wasn't seen here.

--- a/soak/src/host.rs
+++ b/soak/src/host.rs
@@ -41,6 +41,8 @@
     pub proxy: Proxy,
     /// Service of the server, or of the next one while none runs.
     pub service: String,
+    /// Name of the next server if it is that of the last one.
+    pub next_name: Option<String>,
     /// The simulated server; `None` while it has crashed or left.
     pub server: Option<Server>,
     /// Socket on which the server receives and sends packets.
@@ -55,10 +57,11 @@
 }
 
 impl AgentHost {
-    /// Starts a server with a new name, made of `index` and `now`, the time since the start of the
-    /// run. `started` is the Unix time in milliseconds that its heartbeats report.
+    /// Starts a server. Unless it keeps its predecessor's name, its name is made of `index` and
+    /// `now`, the time since the start of the run. `started` is the Unix time in milliseconds that its heartbeats report.
     pub fn start_server(&mut self, index: usize, now: Duration, started: u64) {
-        let name = format!("server-{index}-{}", now.as_millis());
+        let new_name = || format!("server-{index}-{}", now.as_millis());
+        let name = self.next_name.take().unwrap_or_else(new_name);
         self.server = Some(Server::new(
             name,
             self.service.clone(),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -24,6 +24,14 @@
     #[argh(option, default = "20")]
     length: u64,
 
+    /// seconds without a fault before the first one may begin (default 0)
+    #[argh(option, default = "0")]
+    calm: u64,
+
+    /// also renew servers: they start again at once under the same names, and drain later
+    #[argh(switch)]
+    renew: bool,
+
     /// number of balancers (default 4)
     #[argh(option, default = "Size::default().balancers")]
     balancers: usize,
@@ -65,7 +73,11 @@
     size.validate()?;
     let mut failed = 0;
     for seed in arguments.seed..arguments.seed + arguments.runs {
-        let plan = Plan::random(seed, size, Duration::from_secs(arguments.length));
+        let mut plan = Plan::random(seed, size, Duration::from_secs(arguments.length));
+        if arguments.renew {
+            plan.renew_servers();
+        }
+        plan.delay(Duration::from_secs(arguments.calm));
         let directory = arguments.directory.join(format!("seed-{seed}"));
         let options = Options {
             program: arguments.program.clone(),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -29,6 +29,10 @@
     /// Servers drain and stop together with their agents. They are replaced by servers of the same
     /// or, at random, of the other service.
     ReplaceServers,
+    /// Servers lose their state and start again at once under the same names. They drain later and
+    /// are replaced as by [`Fault::ReplaceServers`]. Their first heartbeat comes within an interval
+    /// after the start. The notices that the former processes have ended arrive late, or not at all.
+    RenewServers,
     /// All processes and servers are killed at the same time, as in a power loss.
     PowerOff,
     /// The store refuses, delays or ignores calls.
@@ -81,7 +85,7 @@
     /// Number of balancers, agents or both that the fault affects; ignored by faults of the store,
     /// the fabric and the configuration, and by a power loss.
     pub count: usize,
-    /// Duration of the fault, or downtime before a killed process or crashed server starts again.
+    /// Duration of the fault, time before renewed servers drain, or downtime before a killed process or crashed server starts again.
     /// Other faults have no use for it.
     pub duration: Duration,
 }
@@ -159,6 +163,8 @@
 const SERIES_MAX: usize = 6;
 /// Most faults in a series.
 const REPEATS_MAX: usize = 4;
+/// Number of series that [`Plan::renew_servers`] adds.
+const RENEWAL_SERIES: usize = 2;
 
 impl Plan {
     /// Generates a plan from a seed: several series of faults that may overlap. The same arguments
@@ -168,29 +174,57 @@
         let mut faults = Vec::new();
         for _ in 0..random.random_range(2..=SERIES_MAX) {
             let fault = FAULTS[random.random_range(0..FAULTS.len())];
-            let mut at = fault_window.mul_f64(random.random_range(0.05..0.8));
-            let gap = Duration::from_millis(random.random_range(200..3000));
-            let repeats_max = match fault {
-                Fault::PowerOff => 2,
-                _ => REPEATS_MAX,
-            };
-            for _ in 0..random.random_range(1..=repeats_max) {
-                faults.push(ScheduledFault {
-                    at,
-                    fault,
-                    count: random.random_range(1..=3),
-                    duration: Duration::from_millis(random.random_range(200..5000)),
-                });
-                at += gap;
-            }
+            faults.extend(series(fault, fault_window, &mut random));
         }
-        faults.retain(|scheduled| scheduled.at < fault_window);
-        faults.sort_by_key(|scheduled| scheduled.at);
-        Self {
+        let mut plan = Self {
             seed,
             size,
             fault_window,
             faults,
+        };
+        plan.arrange();
+        plan
+    }
+
+    /// Adds series of [`Fault::RenewServers`]. The other faults stay as they are.
+    pub fn renew_servers(&mut self) {
+        let mut random = SmallRng::seed_from_u64(!self.seed);
+        for _ in 0..RENEWAL_SERIES {
+            let renewals = series(Fault::RenewServers, self.fault_window, &mut random);
+            self.faults.extend(renewals);
+        }
+        self.arrange();
+    }
+
+    /// Delays all faults.
+    pub fn delay(&mut self, calm: Duration) {
+        self.fault_window += calm;
+        for scheduled in &mut self.faults {
+            scheduled.at += calm;
         }
     }
+
+    fn arrange(&mut self) {
+        self.faults
+            .retain(|scheduled| scheduled.at < self.fault_window);
+        self.faults.sort_by_key(|scheduled| scheduled.at);
+    }
+}
+
+fn series(fault: Fault, fault_window: Duration, random: &mut SmallRng) -> Vec<ScheduledFault> {
+    let start = fault_window.mul_f64(random.random_range(0.05..0.8));
+    let gap = Duration::from_millis(random.random_range(200..3000));
+    let repeats_max = match fault {
+        Fault::PowerOff => 2,
+        _ => REPEATS_MAX,
+    };
+    let repeats = random.random_range(1..=repeats_max);
+    (0..repeats as u32)
+        .map(|repeat| ScheduledFault {
+            at: start + gap * repeat,
+            fault,
+            count: random.random_range(1..=3),
+            duration: Duration::from_millis(random.random_range(200..5000)),
+        })
+        .collect()
 }
--- a/soak/src/run/faults.rs
+++ b/soak/src/run/faults.rs
@@ -20,6 +20,9 @@
     DRAIN_PROPAGATION_LIMIT, DRAIN_TIME, READINESS_CHECK_INTERVAL, REROUTED_ADDRESS, SERVICES,
 };
 
+/// Delay of a late notice of a server's end in milliseconds.
+const LATE_NOTICE_MS: std::ops::Range<u64> = 20..2000;
+
 impl Harness {
     pub(super) fn check_readiness(&mut self) {
         for index in 0..self.balancers.len() {
@@ -125,6 +128,15 @@
                     self.crash_server(index, duration);
                 }
             }
+            Fault::RenewServers => {
+                let replacement_time = DRAIN_TIME + TERMINATION_GRACE + DRAIN_PROPAGATION_LIMIT;
+                let end = self.now() + duration + replacement_time;
+                self.disturbed_until = self.disturbed_until.max(end);
+                for index in &agents {
+                    self.renew_server(*index);
+                }
+                self.schedule(duration, Timer::ClearFault(scheduled.fault, agents));
+            }
             Fault::ReplaceServers => {
                 let replacement_time = DRAIN_TIME + TERMINATION_GRACE + DRAIN_PROPAGATION_LIMIT;
                 self.disturbed_until = self.disturbed_until.max(self.now() + replacement_time);
@@ -184,10 +196,32 @@
                     }
                 }
             }
+            Fault::RenewServers => {
+                for index in hosts {
+                    self.drain_server(*index);
+                }
+            }
             _ => {}
         }
     }
 
+    fn renew_server(&mut self, index: usize) {
+        let late_notice = self.random.random_bool(0.5);
+        let wait = Duration::from_millis(self.random.random_range(LATE_NOTICE_MS));
+        let host = &mut self.agents[index];
+        if host.replacement.is_some() {
+            return;
+        }
+        let Some(server) = host.server.take() else {
+            return;
+        };
+        host.next_name = Some(server.name.clone());
+        host.restart_at = Some(Instant::now());
+        if late_notice {
+            self.send_notice(index, &server, wait);
+        }
+    }
+
     pub(super) fn crash_server(&mut self, index: usize, duration: Duration) {
         let host = &mut self.agents[index];
         if host.server.take().is_some() && host.replacement.is_none() {
@@ -207,8 +241,8 @@
             _ => host.service.clone(),
         };
         host.replacement = Some((Instant::now() + DRAIN_TIME, service));
-        let name = server.name.clone();
+        let started = server.started_ms;
         // Reports the drain at once instead of with the next regular heartbeat.
-        self.send_heartbeat(index, name);
+        self.send_heartbeat(index, started);
     }
 }
--- a/soak/src/run/mod.rs
+++ b/soak/src/run/mod.rs
@@ -70,17 +70,18 @@
     ReadinessChecked(usize, bool),
     HeartbeatAcknowledged {
         host: usize,
-        server: String,
+        started: u64,
         draining: bool,
     },
 }
 
-/// A scheduled action. Servers are named, so that a timer of a former server on a host has no effect.
+/// A scheduled action. Servers are identified by their host and the start of their process, so that
+/// a timer of a former server on a host has no effect.
 enum Timer {
     SendRequest(usize),
     ClientTimeout(usize),
-    RequestProcessed(usize, String, Packet),
-    SendHeartbeat(usize, String),
+    RequestProcessed(usize, u64, Packet),
+    SendHeartbeat(usize, u64),
     CheckReadiness,
     InjectFault(usize),
     ClearFault(Fault, Vec<usize>),
@@ -243,6 +244,7 @@
             )
             .await?,
             service,
+            next_name: None,
             server: None,
             socket,
             drain_acknowledged_at: None,
@@ -357,9 +359,9 @@
             }
             Event::HeartbeatAcknowledged {
                 host,
-                server,
+                started,
                 draining,
-            } => self.handle_heartbeat_acknowledgement(host, &server, draining),
+            } => self.handle_heartbeat_acknowledgement(host, started, draining),
         }
     }
 
@@ -367,10 +369,10 @@
         match timer {
             Timer::SendRequest(index) => self.send_request(index),
             Timer::ClientTimeout(index) => self.handle_client_timeout(index),
-            Timer::RequestProcessed(index, name, packet) => {
-                self.complete_request(index, &name, &packet)
+            Timer::RequestProcessed(index, started, packet) => {
+                self.complete_request(index, started, &packet)
             }
-            Timer::SendHeartbeat(index, name) => self.send_heartbeat(index, name),
+            Timer::SendHeartbeat(index, started) => self.send_heartbeat(index, started),
             Timer::CheckReadiness => self.check_readiness(),
             Timer::InjectFault(index) => {
                 let scheduled = self.plan.faults[index];
--- a/soak/src/run/servers.rs
+++ b/soak/src/run/servers.rs
@@ -7,8 +7,10 @@
 use flamingofall::packet::Flow;
 use flamingofall_emulator::check::{Arrival, Violation};
 use flamingofall_emulator::packet::{Action, Packet};
-use flamingofall_emulator::server::Effect;
+use flamingofall_emulator::server::{Effect, Server};
 use hyper::Method;
+use rand::Rng;
+use serde_json::json;
 
 use crate::fabric::send_datagram;
 use crate::host::{heartbeat_request, send_http_request};
@@ -29,50 +31,56 @@
         let started = SystemTime::now().duration_since(UNIX_EPOCH);
         let started = started.unwrap_or_default().as_millis() as u64;
         let host = &mut self.agents[index];
+        let renewed = host.next_name.is_some();
         host.start_server(index, now, started);
-        if let Some(server) = &host.server {
-            let name = server.name.clone();
-            self.schedule(Duration::ZERO, Timer::SendHeartbeat(index, name));
-        }
+        let wait = match renewed {
+            true => self.random.random_range(0..HEARTBEAT_INTERVAL_MS),
+            false => 0,
+        };
+        let heartbeat = Timer::SendHeartbeat(index, started);
+        self.schedule(Duration::from_millis(wait), heartbeat);
     }
 
-    pub(super) fn send_heartbeat(&mut self, index: usize, name: String) {
+    pub(super) fn send_heartbeat(&mut self, index: usize, started: u64) {
         let to = self
             .network
             .socket_addr(HostGroup::Agent, index, HEARTBEAT_PORT);
         let server = self.agents[index].server.as_mut();
-        let Some(server) = server.filter(|server| server.name == name) else {
+        let Some(server) = server.filter(|server| server.started_ms == started) else {
             return;
         };
         let (path, body) = heartbeat_request(server, to);
         let draining = server.draining;
-        let (events, server) = (self.events.clone(), name.clone());
+        let events = self.events.clone();
         tokio::spawn(async move {
             let answered = send_http_request(to, Method::POST, &path, body).await;
             if answered.is_ok_and(|status| status.is_success()) {
                 // Sending fails only after the end of the run.
                 let _ = events.send(Event::HeartbeatAcknowledged {
                     host: index,
-                    server,
+                    started,
                     draining,
                 });
             }
         });
         self.schedule(
             Duration::from_millis(HEARTBEAT_INTERVAL_MS),
-            Timer::SendHeartbeat(index, name),
+            Timer::SendHeartbeat(index, started),
         );
     }
 
     pub(super) fn handle_heartbeat_acknowledgement(
         &mut self,
         index: usize,
-        name: &str,
+        started: u64,
         draining: bool,
     ) {
         let now = self.now();
         let host = &mut self.agents[index];
-        let current = host.server.as_ref().is_some_and(|s| s.name == name);
+        let current = host
+            .server
+            .as_ref()
+            .is_some_and(|s| s.started_ms == started);
         if current && draining && host.drain_acknowledged_at.is_none() {
             host.drain_acknowledged_at = Some(now);
         }
@@ -144,7 +152,9 @@
             .network
             .socket_addr(HostGroup::Agent, index, SERVER_OUTBOUND_PORT);
         let host = &self.agents[index];
-        let name = host.server.as_ref().map(|server| server.name.clone());
+        let server = host.server.as_ref();
+        let started = server.map_or(0, |server| server.started_ms);
+        let name = server.map(|server| server.name.clone());
         let socket = host.socket.clone();
         for effect in effects {
             match effect {
@@ -164,16 +174,15 @@
                     if let Some(broken) = self.checker.request_started(id, may_repeat, at) {
                         self.record_violation(&broken);
                     }
-                    let name = name.clone().unwrap_or_default();
-                    self.schedule(time, Timer::RequestProcessed(index, name, packet));
+                    self.schedule(time, Timer::RequestProcessed(index, started, packet));
                 }
             }
         }
     }
 
-    pub(super) fn complete_request(&mut self, index: usize, name: &str, packet: &Packet) {
+    pub(super) fn complete_request(&mut self, index: usize, started: u64, packet: &Packet) {
         let server = self.agents[index].server.as_mut();
-        let Some(server) = server.filter(|server| server.name == name) else {
+        let Some(server) = server.filter(|server| server.started_ms == started) else {
             return;
         };
         let effects = server.complete_request(packet);
@@ -189,19 +198,9 @@
         };
         host.service = service;
         if let Some(server) = host.server.take() {
-            let path = format!("/flamingofall/Instances.Deregister/{}", server.name);
-            let to = self
-                .network
-                .socket_addr(HostGroup::Agent, index, HEARTBEAT_PORT);
-            tokio::spawn(async move {
-                if let Err(error) = send_http_request(to, Method::POST, &path, Vec::new()).await {
-                    log::info!(
-                        "event=leave_unheard server={} reason={error:?}",
-                        server.name
-                    );
-                }
-            });
+            self.send_notice(index, &server, Duration::ZERO);
         }
+        let host = &mut self.agents[index];
         let now = Instant::now();
         host.process.stop(DRAIN_PROPAGATION_LIMIT, now)?;
         host.restart_at = Some(now + TERMINATION_GRACE + DRAIN_PROPAGATION_LIMIT);
@@ -209,4 +208,20 @@
         self.prepare_launch(Role::Agent(&service), index)?;
         Ok(())
     }
+
+    /// Tells the agent after `wait` that a server's process has ended.
+    pub(super) fn send_notice(&self, index: usize, server: &Server, wait: Duration) {
+        let path = format!("/flamingofall/Instances.Deregister/{}", server.name);
+        let body = json!({"born": server.started_ms}).to_string().into_bytes();
+        let name = server.name.clone();
+        let to = self
+            .network
+            .socket_addr(HostGroup::Agent, index, HEARTBEAT_PORT);
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            if let Err(error) = send_http_request(to, Method::POST, &path, body).await {
+                log::info!("event=leave_unheard server={name} reason={error:?}");
+            }
+        });
+    }
 }
