--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod evidence;
 mod fixture;
 mod identity;
+mod renewed;
 mod resets;
 mod used_ports;
 
