Keep flows of a server's successor when its end is told

Cause: the notice of a server's end ended all flows of its agent. The next process on the host may have accepted some before its own first heartbeat, so the notice doesn't speak of them. The heartbeat of the next process was treated that way already.

Change: both keep answered flows that began after the ended process's last heartbeat. If it was that process that held them, it returns nothing any more and a lookup finds that no server holds them.

Evidence: notice_spares_successor fails before with one reset and passes after.

Cost: a server that ends without a drain right after it has accepted flows leaves their clients without an immediate reset. Not measured.

--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -42,11 +42,7 @@
         }
         let replaced = !same && !self.member.server.is_empty();
         if replaced {
-            // The new process may have accepted flows that began after the last heartbeat.
-            let last_heartbeat = self.last_heartbeat.unwrap_or(now);
-            let keep =
-                |tracked: &AgentFlow| tracked.answered && tracked.first_packet_at > last_heartbeat;
-            self.end_server_flows(Reason::Replaced, keep, now, out);
+            self.end_server_flows(Reason::Replaced, now, out);
         }
         self.server_sequence = heartbeat.sequence;
         self.server_heartbeats = match same {
@@ -106,7 +102,7 @@
             ));
             return;
         }
-        self.end_server_flows(Reason::Left, |_| false, now, out);
+        self.end_server_flows(Reason::Left, now, out);
         self.set_state(State::Gone, "left", now, out);
     }
 
@@ -194,15 +190,13 @@
         self.announce(now, out);
     }
 
-    /// Removes the flows of a server that has ended, except those that `keep` selects, and resets
-    /// the open ones.
-    fn end_server_flows(
-        &mut self,
-        reason: Reason,
-        keep: impl Fn(&AgentFlow) -> bool,
-        now: Instant,
-        out: &mut Vec<Output>,
-    ) {
+    /// Removes the flows of a server process that has ended, and resets the open ones. Keeps flows
+    /// that began after its last heartbeat: the next process may have accepted them before its own
+    /// first heartbeat.
+    fn end_server_flows(&mut self, reason: Reason, now: Instant, out: &mut Vec<Output>) {
+        let last_heartbeat = self.last_heartbeat.unwrap_or(now);
+        let keep =
+            |tracked: &AgentFlow| tracked.answered && tracked.first_packet_at > last_heartbeat;
         self.saved.clear();
         self.meter.clear();
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| !keep(tracked)).collect();
--- a/tests/steering/evidence.rs
+++ b/tests/steering/evidence.rs
@@ -259,6 +259,7 @@
     let earlier = member(7, "portal", State::Ready).process();
     let snapshot = Snapshot {
         process: earlier,
+        started: 0,
         flows: vec![SavedFlow {
             client: flow(1).source,
             address: flow(1).destination,
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -185,6 +185,28 @@
     assert_eq!(agent.member().state, State::Gone);
 }
 
+// Guards against a late notice of a server's end that ends flows of the next process, which has
+// accepted them before its first heartbeat.
+#[test]
+fn notice_spares_successor() {
+    let now = Instant::now();
+    let (mut agent, _) = pair(now);
+    let later = now + Duration::from_millis(500);
+    accept(&mut agent, later);
+    answer(&mut agent, Kind::Data, later);
+    let mut out = Vec::new();
+    agent.server_left("a", Some(1), later, &mut out);
+    assert_eq!(agent.member().state, State::Gone);
+    agent.heartbeat(heartbeat("b", 2, 1, State::Ready), later, &mut out);
+    assert_eq!(agent_resets(&out), 0);
+
+    // The successor's own notice ends the flow.
+    let much_later = later + Duration::from_millis(500);
+    agent.heartbeat(heartbeat("b", 2, 2, State::Ready), much_later, &mut out);
+    agent.server_left("b", Some(2), much_later, &mut out);
+    assert_eq!(agent_resets(&out), 1);
+}
+
 /// Lets the agent announce itself to the balancer, and delivers the balancer's answers.
 fn exchange(agent: &mut Agent, balancer: &mut Balancer, now: Instant) {
     let mut out = Vec::new();
