Forget a flow's owner when its client opens it again

What callers could see: a client that uses a port again within 65 s gets no answer on the new flow, or a reset, because its packets go to the server of the earlier flow.

Cause: a balancer kept the owner of the earlier flow and ignored the acceptance of the new one.

Change: an opening packet ends what is known of an owner. The packet may also be a late copy on an open flow, so the flow isn't refused, and the earlier owner is the first candidate of the lookup that follows.

Cost: such a flow isn't hedged at this balancer; the client's own copies are.

--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -45,7 +45,7 @@
             .entry(flow)
             .or_insert_with(|| BalancerFlow::new(self.address, now));
         tracked.last_packet_at = now;
-        tracked.search.clear();
+        tracked.record_opening();
         if segment.acknowledgement == 0 && !backlog {
             tracked.opened_at = Some(now);
         }
@@ -67,7 +67,7 @@
             ));
             return;
         };
-        if tracked.tried_agents.is_empty() {
+        if tracked.tried_agents.is_empty() && !tracked.accepted {
             tracked.likely_agent = first;
         }
         if !tracked.tried_agents.contains(&first) {
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Records that the client opens the flow. Its port may have been that of an earlier flow, so an
+    /// owner is forgotten and the packet goes to any agent. The flow still counts as accepted and the
+    /// owner as the likely agent, as the packet may be a late copy and the flow open.
+    pub fn record_opening(&mut self) {
+        self.search.clear();
+        if self.owner.take().is_some() {
+            self.tried_agents.clear();
+        }
+    }
+
     /// Whether no server can have accepted the flow once the agent that got its opening packet
     /// reports that none took it: no other agent got the packet from here, and other balancers
     /// have no copy of it.
