Don't reset flows that their clients have ended

What callers could see: a new flow reset, reason=server_ended, by a balancer that its packets don't pass.

Cause: an entry stays for 65 s after the client has ended its flow, and a balancer reset it with the end of its server. The client may have opened the next flow from that port through another balancer.

Change: a balancer that has seen the client end a flow doesn't reset it; the client sends no request on it.

Evidence: finished_flow_not_reset fails before for a finish and a reset, and passes after; an open flow is still reset.

--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -6,7 +6,7 @@
 
 use rand::seq::SliceRandom;
 
-use crate::steering::balancer_flow::BalancerFlow;
+use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
 use crate::steering::roster::{Entry, Member, Process, State, OVERDUE_AFTER};
@@ -142,9 +142,9 @@
         out: &mut Vec<Output>,
     ) {
         let lost = |tracked: &BalancerFlow| {
-            tracked
-                .owner
-                .is_some_and(|owner| owner.agent == change.agent && owner.process == Some(ended))
+            let at_process =
+                |owner: Owner| owner.agent == change.agent && owner.process == Some(ended);
+            !tracked.finished && tracked.owner.is_some_and(at_process)
         };
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| lost(tracked)).collect();
         ended.sort_by_key(|(flow, _)| flow.source);
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -182,6 +182,7 @@
         if let Some(tracked) = self.flows.get_mut(&flow) {
             tracked.last_packet_at = now;
             tracked.acknowledged = segment.acknowledgement;
+            tracked.finished |= segment.ends();
             tracked.select_acceptance(segment.acknowledgement);
         }
         if let Some(owner) = self.current_owner(&flow, now) {
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -71,6 +71,8 @@
     pub lookup_started: Option<Instant>,
     /// Answers to the lookups since the last report of an owner.
     pub search: Search,
+    /// Whether the client has ended the flow, so that it sends no further requests on it.
+    pub finished: bool,
     /// When the last packet of the flow arrived.
     pub last_packet_at: Instant,
 }
@@ -90,6 +92,7 @@
             lookups: 0,
             lookup_started: None,
             search: Search::default(),
+            finished: false,
             last_packet_at: now,
         }
     }
@@ -99,6 +102,7 @@
     /// owner as the likely agent, as the packet may be a late copy and the flow open.
     pub fn record_opening(&mut self) {
         self.search.clear();
+        self.finished = false;
         if self.owner.take().is_some() {
             self.tried_agents.clear();
         }
--- a/tests/steering/used_ports.rs
+++ b/tests/steering/used_ports.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use flamingofall::id::Sequence;
 use flamingofall::steering::agent;
 use flamingofall::steering::message::{Message, Owner};
+use flamingofall::steering::roster::State;
 use flamingofall::steering::segment::Kind;
 
 use super::fixture::*;
@@ -43,6 +45,32 @@
     assert_eq!(last, Some(agent_addr(2)));
 }
 
+// Guards against a balancer that resets a flow which has finished here when its server ends: the
+// client may have opened the next one from the port through another balancer.
+#[test]
+fn finished_flow_not_reset() {
+    let now = Instant::now();
+    let server = member(1, "portal", State::Ready);
+    for (kind, expected) in [(Kind::Data, 1), (Kind::Finish, 0), (Kind::Reset, 0)] {
+        let mut balancer = balancer(1, now);
+        let mut out = Vec::new();
+        let owner = Message::Owner(Owner {
+            client: flow(1).source,
+            address: flow(1).destination,
+            agent: agent_addr(1),
+            process: Some(server.process()),
+            accepted: None,
+        });
+        balancer.message(agent_addr(1), owner, |_| None, now, &mut out);
+        balancer.packet(segment(flow(1), kind, 5), vec![1], now, &mut out);
+        let mut gone = server.clone();
+        gone.sequence = Sequence(2);
+        gone.state = State::Gone;
+        balancer.merge_directory(vec![gone], Vec::new(), now, &mut out);
+        assert_eq!(resets(&out), expected, "{kind}");
+    }
+}
+
 // Guards against an agent that resets a flow of another server because its own server has closed
 // an earlier flow on the same port.
 #[test]
