Finish discovery once all known peers have sent a digest

After all balancers had started together, as after a power failure, clients waited up to 2 s for the reset of a flow that no server holds, because no digest of a starting peer counted.

A balancer now also finishes its discovery after 0.6 s if every peer that it knows has sent a digest, whatever those peers knew: then none of them knows more agents than they have named, and the lookup asks those.

Not covered: two balancers that start together and know no running peer.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -108,7 +108,10 @@
 
     /// Whether this balancer has had the time to learn of all agents.
     pub(super) fn discovery_done(&self, now: Instant) -> bool {
-        let time = match self.digest_received || self.peers.is_empty() {
+        // If all peers have just started, no balancer knows more than they have named.
+        let mut peers = self.peers.keys();
+        let all_heard = peers.all(|peer| self.digest_senders.contains(peer));
+        let time = match self.digest_received || all_heard {
             true => DISCOVERY_TIME,
             false => DISCOVERY_TIME_ALONE,
         };
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -147,6 +147,7 @@
         out: &mut Vec<Output>,
     ) {
         self.peers.insert(from, now);
+        self.digest_senders.insert(from);
         // A peer that has just started may know fewer agents than others.
         self.digest_received |= digest.balancers.contains(&digest.source);
         // The sender has just started if it has heard no agent.
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -4,7 +4,7 @@
 mod membership;
 mod placement;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -82,6 +82,8 @@
     named_agents: BTreeMap<SocketAddr, Instant>,
     /// Whether a digest has arrived from a peer that knew all agents.
     digest_received: bool,
+    /// Peers that have sent a digest, whatever they knew.
+    digest_senders: BTreeSet<SocketAddr>,
     started: Instant,
     last_tick: Instant,
     /// When the process last went on after it had been suspended.
@@ -106,6 +108,7 @@
             peers: BTreeMap::new(),
             named_agents: BTreeMap::new(),
             digest_received: false,
+            digest_senders: BTreeSet::new(),
             started: now,
             last_tick: now,
             resumed_at: None,
@@ -251,6 +254,8 @@
             });
             self.peers
                 .retain(|_, heard| now.saturating_duration_since(*heard) < PEER_EXPIRY);
+            self.digest_senders
+                .retain(|sender| self.peers.contains_key(sender));
             self.named_agents
                 .retain(|_, named| now.saturating_duration_since(*named) < NAMED_AGENT_EXPIRY);
         }
