Learn of all agents again after a suspension or a cut

What callers could see: an open flow reset, reason=no_server_holds_it, by a balancer that was suspended or cut off while a new server joined.

Cause: that a balancer knows all agents was decided once, after its start. What it missed while it stood still or heard nobody was not counted.

Change: after a suspension, and while it hears no agent, a balancer begins to learn of the agents again; until it has, lookups end in nothing.

Evidence: discovery_repeated fails before and passes after, with the reset demanded again once a peer's digest has come. Cost: no reset of flows that nobody holds for 0.6 to 2 s after a suspension. Not measured yet.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -12,7 +12,7 @@
 
 use super::{log_event, Balancer, Output, CANDIDATES_MAX};
 
-/// Time after the start of the balancer before a lookup without a result counts as proof that no
+/// Time after the start of the discovery before a lookup without a result counts as proof that no
 /// server holds the flow. Agents that are missing in the directory have announced themselves by
 /// then.
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
@@ -115,7 +115,8 @@
             true => DISCOVERY_TIME,
             false => DISCOVERY_TIME_ALONE,
         };
-        self.directory_read && now.saturating_duration_since(self.started) > time
+        let elapsed = now.saturating_duration_since(self.discovery_started);
+        self.directory_read && elapsed > time
     }
 
     pub(super) fn receive_owner(&mut self, owner: Owner, now: Instant, out: &mut Vec<Output>) {
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -86,6 +86,9 @@
     /// Peers that have sent a digest, whatever they knew.
     digest_senders: BTreeSet<SocketAddr>,
     started: Instant,
+    /// When this balancer began to learn of all agents: at its start, and again after it was
+    /// suspended or cut off from them.
+    discovery_started: Instant,
     last_tick: Instant,
     /// When the process last went on after it had been suspended.
     resumed_at: Option<Instant>,
@@ -111,6 +114,7 @@
             digest_received: false,
             digest_senders: BTreeSet::new(),
             started: now,
+            discovery_started: now,
             last_tick: now,
             resumed_at: None,
             digest_due: now,
@@ -239,6 +243,11 @@
             ));
         }
         self.last_tick = now;
+        if pause > PAUSE_MIN || self.isolated() {
+            self.discovery_started = now;
+            self.digest_received = false;
+            self.digest_senders.clear();
+        }
         self.hedge(now, out);
         if now >= self.outlier_check_due {
             self.outlier_check_due = now + OUTLIER_CHECK_INTERVAL;
--- a/tests/steering/completeness.rs
+++ b/tests/steering/completeness.rs
@@ -315,3 +315,46 @@
         assert_eq!(resets(&out), expected);
     }
 }
+
+// Guards against resets by a balancer that was suspended or cut off: it may have missed an agent
+// that has joined meanwhile, and to which others have given flows.
+#[test]
+fn discovery_repeated() {
+    let start = Instant::now();
+    let data = segment(flow(1), Kind::Data, 5);
+    for cut_off in [false, true] {
+        let mut balancer = balancer(3, start);
+        digest(&mut balancer, &[1, 2, 3], vec![addr(PEER)], start);
+        let mut announced = start;
+        let mut away = |balancer: &mut Balancer, from: u64, to: u64, hears: bool| {
+            for elapsed in (from..=to).step_by(20).map(Duration::from_millis) {
+                if hears && start + elapsed >= announced {
+                    announced = start + elapsed + Duration::from_millis(400);
+                    for index in 1..=3 {
+                        announce(balancer, index, 1, State::Ready, start + elapsed);
+                    }
+                }
+                balancer.tick(start + elapsed, &mut Vec::new());
+            }
+        };
+        let lookup = |balancer: &mut Balancer, millis| {
+            let now = start + Duration::from_millis(millis);
+            let part = client_packet(balancer, data, now).remove(0);
+            resets(&exhaust(balancer, data, part.1, now))
+        };
+        away(&mut balancer, 0, 1000, true);
+        assert_eq!(lookup(&mut balancer, 1001), 1);
+
+        let back = 5000;
+        if cut_off {
+            away(&mut balancer, 1020, back, false);
+        }
+        away(&mut balancer, back, back + 20, true);
+        assert_eq!(lookup(&mut balancer, back + 30), 0, "cut off: {cut_off}");
+        away(&mut balancer, back + 40, back + 1000, true);
+        assert_eq!(lookup(&mut balancer, back + 1001), 0, "cut off: {cut_off}");
+        let now = start + Duration::from_millis(back + 1001);
+        digest(&mut balancer, &[1, 2, 3], vec![addr(PEER)], now);
+        assert_eq!(lookup(&mut balancer, back + 1001), 1, "cut off: {cut_off}");
+    }
+}
