Ask the server for flows that its predecessor's end leaves

What callers saw: in the soak's renewed_servers, open flows reset, reason=no_server_holds_it, whose server had accepted them about 15 ms before its predecessor's end was told (127.140.100.3:1037: placed at 37.319 s, state=gone at 37.332 s, server_gone and reset at 37.359 s).

Cause: an agent in the state gone denied all flows, also those that it had kept as its next process may hold them.

Change: packets of kept flows go to the server. If none runs, they end in nothing, and so does the lookup.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -40,11 +40,13 @@
         now: Instant,
         out: &mut Vec<Output>,
     ) {
-        if self.member.state == State::Gone {
+        let flow = segment.flow;
+        // Flows that are left may be those of the next process, which hasn't sent a heartbeat yet.
+        let left = !segment.opens() && self.flows.contains_key(&flow);
+        if self.member.state == State::Gone && !left {
             self.forward_to_next(segment, forward, "server_gone", out);
             return;
         }
-        let flow = segment.flow;
         if segment.opens() {
             let tracked = self.flows.contains_key(&flow);
             // Also if the flow is tracked: the entry may be of an earlier flow from the same port,
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -197,6 +197,11 @@
     let mut out = Vec::new();
     agent.server_left("a", Some(1), later, &mut out);
     assert_eq!(agent.member().state, State::Gone);
+    for (port, taken) in [(1, true), (2, false)] {
+        let data = segment(flow(port), Kind::Data, 8);
+        let out = forward_to_agent(&mut agent, data, forward("", Vec::new(), true), later);
+        assert_eq!(delivered(&out).is_some(), taken, "port {port}");
+    }
     agent.heartbeat(heartbeat("b", 2, 1, State::Ready), later, &mut out);
     assert_eq!(agent_resets(&out), 0);
 
