Don't count packets that waited at suspended agents

Callers of `mix examples/emulator/power-off.js` saw "10.865 s: packets of tcp/100.64.0.93:1032>198.18.0.1:443 don't reach its server".

Cause: the check counted three steps of one packet's lookup, the last one at an agent that had just been suspended. Trace (temporary prints in the emulator): - 7.450 agents 10.1.0.1 and 10.1.0.2 are suspended for 3.4 s. - 7.468 balancer 10.0.0.4 places the flow at 10.1.0.3, which reports it to that balancer. - 7.516 the client's only later packet, a Finish, comes to balancer 10.0.0.2, which started at 7.45 and doesn't know the flow. It looks it up along 10.1.0.11 (7.519), 10.1.0.12 (7.522), 10.1.0.1 (suspended). - 10.8647 10.1.0.1 wakes and delivers the packet to its server, which returns it: the third arrival, 3.3 s after the first. - 10.8676 10.1.0.3 delivers it to the flow's server, which ends the flow. No balancer that got the packet knew the owner, and the lookup found it.

Only balancers and the flow's own host had to be stable. The guarantee covers no host that was suspended, cut off or killed within 4 s (docs/emulator.md), so an arrival at the server of such a host doesn't count now. It doesn't clear the other arrivals either. Planned restarts are no such faults, as before. The soak counts all arrivals, as before.

Evidence: with the new condition switched off both new tests fail.

--- a/emulator/src/check.rs
+++ b/emulator/src/check.rs
@@ -122,6 +122,9 @@
     pub holds_flow: bool,
     /// Whether the flow is open at another server that the packet should have reached.
     pub held_elsewhere: bool,
+    /// Whether the guarantee covers the host of the server that gets the packet: it had no
+    /// unplanned faults recently.
+    pub host_stable: bool,
     /// Time at which the server reported that it drains.
     pub draining_since: Option<Duration>,
 }
@@ -187,6 +190,10 @@
             self.misrouted.remove(&flow);
             return None;
         }
+        // The packet may have waited on that host. It doesn't count, nor does it clear the others.
+        if !arrival.host_stable {
+            return None;
+        }
         let (since, count) = self.misrouted.entry(flow).or_insert((now, 0));
         *count += 1;
         if *count < MISROUTED_PACKETS_MIN || now <= *since + MISROUTED_DURATION_MIN {
--- a/emulator/src/simulation/agents.rs
+++ b/emulator/src/simulation/agents.rs
@@ -242,6 +242,7 @@
                         && other.faults.is_stable(self.now)
                         && other.server.as_ref().is_some_and(|s| s.holds(&flow))
                 }),
+            host_stable: host.faults.is_stable(self.now),
             draining_since: host.draining_since,
         };
         if let Some(violation) = self.checker.packet_arrived(&arrival, self.now) {
--- a/emulator/tests/check.rs
+++ b/emulator/tests/check.rs
@@ -1,10 +1,13 @@
 //! Tests that each check reports its violation.
 
+use std::path::Path;
 use std::time::Duration;
 
 use flamingofall::packet::{Flow, Protocol};
 use flamingofall_emulator::check::{Arrival, Checker, Violation};
 use flamingofall_emulator::client::Outcome;
+use flamingofall_emulator::scenario::Scenario;
+use flamingofall_emulator::simulation;
 
 const DRAIN_GRACE: Duration = Duration::from_secs(3);
 
@@ -30,6 +33,7 @@
         service: "portal",
         holds_flow: false,
         held_elsewhere: true,
+        host_stable: true,
         draining_since: None,
     }
 }
@@ -84,6 +88,44 @@
     }
 }
 
+// Guards against violations by a packet that waited at a suspended agent during the lookup of its
+// flow, and against a check that such a packet clears.
+#[test]
+fn waited_at_suspended_agent() {
+    let mut checker = checker();
+    let late = Arrival {
+        host_stable: false,
+        ..arrival(false)
+    };
+    for at in [1, 2] {
+        assert_eq!(checker.packet_arrived(&arrival(false), at_second(at)), None);
+    }
+    for at in [4, 5, 6] {
+        assert_eq!(checker.packet_arrived(&late, at_second(at)), None);
+    }
+    let violation = checker.packet_arrived(&arrival(false), at_second(6));
+    assert_eq!(violation, Some(Violation::Misrouted(flow())));
+    // A host with recent faults that holds the flow still clears the count.
+    let own = Arrival {
+        holds_flow: true,
+        ..late
+    };
+    for at in [7, 8, 9, 10] {
+        assert_eq!(checker.packet_arrived(&arrival(false), at_second(at)), None);
+        assert_eq!(checker.packet_arrived(&own, at_second(at)), None);
+    }
+}
+
+// Guards against the same in a run: with this seed a lookup asks two servers, waits 3.3 s at a
+// suspended agent, and finds the flow's server with its fourth step.
+#[test]
+fn lookup_past_suspended_agent() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/emulator");
+    let scenario = Scenario::read(&folder.join("power-off.json")).unwrap();
+    let report = simulation::simulate(scenario.with_random_events(201_061), 201_061);
+    assert!(report.violations.is_empty(), "{:?}", report.violations);
+}
+
 #[test]
 fn request_twice() {
     let mut checker = checker();
--- a/soak/src/run/servers.rs
+++ b/soak/src/run/servers.rs
@@ -119,6 +119,7 @@
             held_elsewhere: self.agents.iter().any(|other| {
                 other.process.is_running() && other.server.as_ref().is_some_and(|s| s.holds(&flow))
             }),
+            host_stable: true,
             draining_since: host.drain_acknowledged_at,
         };
         let now = self.now();
