Bound the acceptances that a balancer keeps for a flow

Cause: each opening packet of a client port adds an acceptance, renews the entry, and drops none until the client chooses one.

Change: the eight latest are kept. Evidence: acceptances_bounded keeps 1000 before and passes after.

--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -11,6 +11,10 @@
 /// Time before a client sends the first copy of its opening packet.
 const FIRST_COPY_AFTER: Duration = Duration::from_millis(200);
 
+/// Number of acceptances that are kept until the client chooses one. A newer one replaces the
+/// oldest.
+const ACCEPTANCES_MAX: usize = 8;
+
 /// The agent whose server holds a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Owner {
@@ -125,6 +129,9 @@
             self.likely_agent = acceptance.owner.agent;
         }
         self.accepted = true;
+        if self.acceptances.len() == ACCEPTANCES_MAX {
+            self.acceptances.remove(0);
+        }
         self.acceptances.push(acceptance);
         // The client's acknowledgement may have arrived before the report.
         self.select_acceptance(self.acknowledged);
--- a/tests/steering/used_ports.rs
+++ b/tests/steering/used_ports.rs
@@ -97,3 +97,24 @@
     let sent_on = |output: &agent::Output| matches!(output, agent::Output::Send(to, Message::Forward(_)) if *to == agent_addr(2));
     assert!(out.iter().any(sent_on));
 }
+
+// Guards against a flow's entry that grows with each opening packet of one client port.
+#[test]
+fn acceptances_bounded() {
+    let now = Instant::now();
+    let mut balancer = balancer(1, now);
+    let mut out = Vec::new();
+    for sequence in 0..1000 {
+        balancer.packet(segment(flow(1), Kind::Open, 0), vec![0], now, &mut out);
+        let owner = Message::Owner(Owner {
+            client: flow(1).source,
+            address: flow(1).destination,
+            agent: agent_addr(1),
+            process: None,
+            accepted: Some(sequence * 2 + 1),
+        });
+        balancer.message(agent_addr(1), owner, |_| None, now, &mut out);
+    }
+    let kept = format!("{balancer:?}").matches("Acceptance {").count();
+    assert!(kept <= 16, "{kept} acceptances are kept");
+}
