--- a/tests/steering/renewed.rs
+++ b/tests/steering/renewed.rs
@@ -60,3 +60,43 @@
     assert_eq!(agent_resets(&out), 0);
     assert_eq!(resets(&deliver(out, &mut balancer, at(502))), 0);
 }
+
+// Guards against lookups that take the notice of a server's end for the end of a flow that the next
+// process has accepted before its first heartbeat.
+#[test]
+fn notice_before_heartbeat() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(1);
+    let mut balancer = balancer(1, start);
+    let mut agent = ready_agent(now);
+    let later = now + Duration::from_millis(500);
+    let syn = segment(flow(1), Kind::Open, 0);
+    forward_to_agent(&mut agent, syn, forward("portal", Vec::new(), false), later);
+    let mut sent = Vec::new();
+    agent.server_packet(segment(flow(1), Kind::Accept, 1), vec![1], later, &mut sent);
+    agent.server_packet(segment(flow(1), Kind::Data, 1), vec![1], later, &mut sent);
+    agent.server_left("a", Some(1), later, &mut sent);
+    let data = segment(flow(1), Kind::Data, 8);
+    let mut total = 0;
+    let mut to_agent = Vec::new();
+    let mut out = Vec::new();
+    for output in sent {
+        if let agent::Output::Send(_, message) = output {
+            balancer.message(agent_addr(1), message, decode_as(data), later, &mut out);
+        }
+    }
+    balancer.packet(data, vec![0], later, &mut out);
+    for _ in 0..4 {
+        total += resets(&out);
+        to_agent.extend(forwards(&out));
+        out.clear();
+        for (_, forward) in std::mem::take(&mut to_agent) {
+            for output in forward_to_agent(&mut agent, data, forward, later) {
+                if let agent::Output::Send(_, message) = output {
+                    balancer.message(agent_addr(1), message, decode_as(data), later, &mut out);
+                }
+            }
+        }
+    }
+    assert_eq!(total + resets(&out), 0);
+}
