Don't end a server's flows by a delayed heartbeat of an earlier one

What callers could see: all open flows of a server reset by balancers, reason=server_ended, after its agent has started again.

Cause: the restarted agent takes the first heartbeat that it gets. If it is a delayed one of an earlier process, the agent's record names that one, and balancers took the change for the end of the present process.

Change: a record ends a process only if it names one that started at the same time or later, or says that the process is gone. After a clock was set back, the agent alone resets the flows of a replaced server.

Evidence: delayed_heartbeat_at_balancer fails before and passes after.

--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -95,13 +95,18 @@
 
     fn merge_member(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let agent = member.agent;
+        let entry = self.roster.get(&agent);
+        let previous = entry.and_then(|entry| entry.process);
+        let previous_started = entry.map_or(0, |entry| entry.process_started);
         self.named_agents.remove(&agent);
-        let previous = self.roster.get(&agent).and_then(|entry| entry.process);
         if !self.roster.merge(member, direct, now) {
             return;
         }
         let Some(Entry {
-            member, process, ..
+            member,
+            process,
+            process_started,
+            ..
         }) = self.roster.get(&agent)
         else {
             return;
@@ -115,6 +120,8 @@
             ),
         ));
         let (process, gone) = (*process, member.state == State::Gone);
+        // A restarted agent may get a delayed heartbeat of an earlier process first.
+        let succeeded = previous != process && *process_started >= previous_started;
         let change = Change {
             agent,
             before: previous,
@@ -122,10 +129,7 @@
             state: member.state,
             direct,
         };
-        let ended = [
-            previous.filter(|_| previous != process),
-            process.filter(|_| gone),
-        ];
+        let ended = [previous.filter(|_| succeeded), process.filter(|_| gone)];
         for process in ended.into_iter().flatten() {
             self.reset_ended_flows(process, &change, now, out);
         }
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -87,6 +87,8 @@
     pub member: Member,
     /// The last process that a record has named; an agent that restarts names none at first.
     pub process: Option<Process>,
+    /// Start of that process in Unix milliseconds.
+    pub process_started: u64,
     /// When a message of the agent last arrived, or when its record was first read from the
     /// directory.
     pub last_heard: Instant,
@@ -179,6 +181,7 @@
             let entry = Entry {
                 hash: hash_bytes(key.to_string().as_bytes()),
                 process: member.named_process(),
+                process_started: member.started,
                 member,
                 last_heard: now,
                 heard_directly: direct,
@@ -199,7 +202,10 @@
         if order(&member) <= order(&entry.member) {
             return false;
         }
-        entry.process = member.named_process().or(entry.process);
+        if let Some(process) = member.named_process() {
+            entry.process = Some(process);
+            entry.process_started = member.started;
+        }
         entry.member = member;
         true
     }
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -359,3 +359,29 @@
     assert_eq!(outcomes, expected);
     assert_eq!(agent.member().server, "b");
 }
+
+// Guards against resets of a living server's flows by balancers whose agent has started again and
+// got a delayed heartbeat of an earlier server first.
+#[test]
+fn delayed_heartbeat_at_balancer() {
+    let now = Instant::now();
+    let mut balancer = balancer(0, now);
+    let mut agent = new_agent(1, now);
+    let present = beat(&mut agent, "b", 2, 1, State::Ready, now);
+    deliver(&mut balancer, present, now);
+    let owner = Message::Owner(message::Owner {
+        client: flow(1).source,
+        address: flow(1).destination,
+        agent: agent_addr(1),
+        process: Some(agent.member().process()),
+        accepted: None,
+    });
+    deliver(&mut balancer, vec![owner], now);
+    let mut restarted = new_agent(2, now);
+    let delayed = beat(&mut restarted, "a", 1, 9, State::Ready, now);
+    let out = deliver(&mut balancer, delayed, now);
+    assert_eq!(resets(&out), 0);
+    let present = beat(&mut restarted, "b", 2, 2, State::Ready, now);
+    let out = deliver(&mut balancer, present, now);
+    assert_eq!(resets(&out), 0);
+}
