Keep asking an agent that a peer hears when its old record is listed

Cause: any record of an agent, also one that is ignored as old, took the agent off the list of those that peers hear, so a lookup left it out by that record. Change: only a record by which the agent hasn't left does.

Evidence: old_record_keeps_named fails before and passes after. Found by a review; no run has shown it.

--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -98,8 +98,11 @@
         let entry = self.roster.get(&agent);
         let previous = entry.and_then(|entry| entry.process);
         let previous_started = entry.map_or(0, |entry| entry.process_started);
-        self.named_agents.remove(&agent);
-        if !self.roster.merge(member, direct, now) {
+        let changed = self.roster.merge(member, direct, now);
+        if !self.roster.left(&agent, now) {
+            self.named_agents.remove(&agent);
+        }
+        if !changed {
             return;
         }
         let Some(Entry {
--- a/tests/steering/completeness.rs
+++ b/tests/steering/completeness.rs
@@ -358,3 +358,22 @@
         assert_eq!(lookup(&mut balancer, back + 1001), 1, "cut off: {cut_off}");
     }
 }
+
+// Guards against lookups that leave out an agent that a peer hears, after the directory has shown
+// its old record once more.
+#[test]
+fn old_record_keeps_named() {
+    let start = Instant::now();
+    let mut balancer = balancer(1, start);
+    announce(&mut balancer, 2, 2, State::Gone, start);
+    let later = start + LOST_AFTER + Duration::from_millis(1);
+    digest(&mut balancer, &[2], vec![addr(PEER)], later);
+    let data = segment(flow(1), Kind::Data, 5);
+    let part = client_packet(&mut balancer, data, later).remove(0);
+    assert!(asked(&part).contains(&agent_addr(2)));
+    let mut listed = member(2, "portal", State::Gone);
+    listed.sequence = Sequence(2);
+    balancer.merge_directory(vec![listed], Vec::new(), later, &mut Vec::new());
+    let part = client_packet(&mut balancer, data, later).remove(0);
+    assert!(asked(&part).contains(&agent_addr(2)));
+}
