Ask an owner that has reported itself, whoever knows its agent

What callers could see: an open flow reset, reason=no_server_holds_it, while the balancer knows from the flow's server itself where it is.

Cause: an owner counts only while its agent is in the roster. One that only a peer's digest has named is in none of the candidates once the digest is 4 s old.

Change: the flow's owner is a candidate if nothing else names its agent. Evidence: unknown_owner_asked fails before and passes after.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -103,6 +103,13 @@
                 Some(_) => {}
             }
         }
+        let owner = self.flows.get(flow).and_then(|tracked| tracked.owner);
+        let unknown = |agent: &SocketAddr| {
+            self.roster.get(agent).is_none() && !self.named_agents.contains_key(agent)
+        };
+        found
+            .overdue
+            .extend(owner.map(|owner| owner.agent).filter(unknown));
         found
     }
 
--- a/tests/steering/completeness.rs
+++ b/tests/steering/completeness.rs
@@ -377,3 +377,16 @@
     let part = client_packet(&mut balancer, data, later).remove(0);
     assert!(asked(&part).contains(&agent_addr(2)));
 }
+
+// Guards against lookups that leave out an owner that has reported itself, because its agent isn't
+// in the roster.
+#[test]
+fn unknown_owner_asked() {
+    let start = Instant::now();
+    let mut balancer = balancer(2, start);
+    let now = start + Duration::from_secs(3);
+    report_owner(&mut balancer, 3, now);
+    let data = segment(flow(1), Kind::Data, 5);
+    let part = client_packet(&mut balancer, data, now).remove(0);
+    assert!(asked(&part).contains(&agent_addr(3)));
+}
