--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -219,6 +219,7 @@
             out.push(Output::Send(owner.agent, Message::Forward(forward)));
             return;
         }
+        tracked.search.expire(now);
         if !tracked.search.exhaust(forward.passes) {
             return;
         }
--- a/tests/steering/completeness.rs
+++ b/tests/steering/completeness.rs
@@ -390,3 +390,16 @@
     let part = client_packet(&mut balancer, data, now).remove(0);
     assert!(asked(&part).contains(&agent_addr(3)));
 }
+
+// Guards against resets by an answer that waited for long, such as while the balancer was
+// suspended.
+#[test]
+fn old_answer_ignored() {
+    let start = Instant::now();
+    let mut balancer = balancer(2, start);
+    let now = start + Duration::from_secs(3);
+    let data = segment(flow(1), Kind::Data, 5);
+    let part = client_packet(&mut balancer, data, now).remove(0);
+    let later = now + Duration::from_secs(5);
+    assert_eq!(resets(&exhaust(&mut balancer, data, part.1, later)), 0);
+}
