Send the list of balancers to agents that aren't heard

Cause: an agent that doesn't know a balancer can't announce itself to it, and nothing told it of the balancer while it was silent.

Evidence: silent_agent_reminded fails before and passes after. Agents of the former version were not run beside it.

--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -9,7 +9,7 @@
 use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
-use crate::steering::roster::{Entry, Member, Process, State, OVERDUE_AFTER};
+use crate::steering::roster::{Entry, Member, Process, State, OVERDUE_AFTER, SUSPECT_AFTER};
 
 use super::evidence::Change;
 use super::{log_event, Balancer, Output};
@@ -237,6 +237,18 @@
         }
     }
 
+    /// Sends the list of balancers to agents that aren't heard: they may not know this balancer.
+    pub(super) fn remind_silent_agents(&self, now: Instant, out: &mut Vec<Output>) {
+        let silent = |entry: &&Entry| {
+            let unheard = now.saturating_duration_since(entry.last_heard) > SUSPECT_AFTER;
+            unheard && entry.member.state != State::Gone
+        };
+        for entry in self.roster.iter().filter(silent) {
+            let message = Message::Balancers(self.balancers());
+            out.push(Output::Send(entry.member.agent, message));
+        }
+    }
+
     /// Sends the list of balancers to all agents.
     fn send_balancers_to_agents(&self, out: &mut Vec<Output>) {
         for entry in self.roster.iter() {
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -260,6 +260,7 @@
         if now >= self.expire_due {
             self.expire_due = now + EXPIRE_INTERVAL;
             self.roster.expire(now);
+            self.remind_silent_agents(now, out);
             self.flows.retain(|_, tracked| {
                 now.saturating_duration_since(tracked.last_packet_at) < FLOW_EXPIRY
             });
--- a/tests/steering/resets.rs
+++ b/tests/steering/resets.rs
@@ -60,6 +60,19 @@
     }
 }
 
+// Guards against agents that stay silent because they don't know the balancer, such as those of an
+// earlier version that forget it.
+#[test]
+fn silent_agent_reminded() {
+    let start = Instant::now();
+    let mut balancer = balancer(1, start);
+    let mut agent = ready_agent(start);
+    for elapsed in (0..5000).step_by(50).map(Duration::from_millis) {
+        exchange(&mut agent, &mut balancer, start + elapsed);
+    }
+    assert_eq!(agent.balancers(), 1);
+}
+
 // Guards against lookups that leave out an agent that this balancer doesn't hear: its server may
 // hold the flow, which would be reset once the other agents have returned the packet.
 #[test]
