--- a/soak/src/host.rs
+++ b/soak/src/host.rs
@@ -58,7 +58,8 @@
 
 impl AgentHost {
     /// Starts a server. Unless it keeps its predecessor's name, its name is made of `index` and
-    /// `now`, the time since the start of the run. `started` is the Unix time in milliseconds that its heartbeats report.
+    /// `now`, the time since the start of the run. `started` is the Unix time in milliseconds that
+    /// its heartbeats report.
     pub fn start_server(&mut self, index: usize, now: Duration, started: u64) {
         let new_name = || format!("server-{index}-{}", now.as_millis());
         let name = self.next_name.take().unwrap_or_else(new_name);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -85,8 +85,8 @@
     /// Number of balancers, agents or both that the fault affects; ignored by faults of the store,
     /// the fabric and the configuration, and by a power loss.
     pub count: usize,
-    /// Duration of the fault, time before renewed servers drain, or downtime before a killed process or crashed server starts again.
-    /// Other faults have no use for it.
+    /// Duration of the fault, time before renewed servers drain, or downtime before a killed process
+    /// or crashed server starts again. Other faults have no use for it.
     pub duration: Duration,
 }
 
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -102,8 +102,9 @@
     }
 
     /// Records that the client opens the flow. Its port may have been that of an earlier flow, so an
-    /// owner is forgotten and the packet goes to any agent. The flow still counts as accepted and the
-    /// owner as the likely agent, as the packet may be a late copy and the flow open.
+    /// owner is forgotten and the packet goes to any agent. As the packet may also be a late copy on
+    /// an open flow, `accepted` stays, which prevents a refusal and hedging, and so does
+    /// `likely_agent`.
     pub fn record_opening(&mut self) {
         self.search.clear();
         self.finished = false;
