List the reset of a flow on a vanished client's port as known red

What callers could see: an open flow reset, reason=server_lost_it, by the agent of another server, if the client has used its port for an earlier flow within 65 s that ended without a packet to that server.

Cause: an agent takes a flow that was open at its server, and whose packet the server returns, for lost. An earlier flow on the port that never ended there looks the same.

--- a/emulator/tests/aimed.rs
+++ b/emulator/tests/aimed.rs
@@ -101,6 +101,14 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+// Guards against resets of a flow by the agent of an earlier flow on the same port, which has ended
+// without a packet to its server, so that the agent still takes it for open.
+#[test]
+fn vanished_client_port() {
+    let violations = simulation::simulate(read("used-ports.json"), 5).violations;
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 // Guards against scenario files that the emulator refuses.
 #[test]
 fn files_readable() {
