Let a lookup decide on a packet that a server returns

Cause: an agent took its entry of the earlier flow for the new one and, when its server returned a packet, reset the flow with server_lost_it. The return shows only that this server doesn't hold the flow.

The agent now forgets the entry and passes the packet on. A packet that came without a lookup goes back to the balancer, which drops the owner and asks all agents; the flow is reset only if each of them answers no. Message layouts stay. No use of server_lost_it is left; it is removed.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use crate::steering::agent_flow::AgentFlow;
-use crate::steering::log_event::{Reason, Topic};
+use crate::steering::log_event::Topic;
 use crate::steering::message::{Forward, Message};
 use crate::steering::roster::State;
 use crate::steering::segment::{Kind, Segment};
 
-use super::{log_event, owner, Agent, EndedFlow, Output, PENDING_MAX};
+use super::{log_event, owner, Agent, Output, PENDING_MAX};
 
 /// How often the opening packet of a flow is forwarded by agents whose servers have all slots in
 /// use. After that, an agent forwards it only if its server's queue is full.
@@ -164,20 +164,9 @@
             ));
             return;
         };
-        let tracked = self.flows.remove(&segment.flow);
-        let held = |tracked: &AgentFlow| tracked.accepts_requests() && !segment.opens();
-        if let Some(tracked) = tracked.filter(held) {
-            // The flow was open at this server, so no other server can hold it. After its end, the
-            // packet may belong to a later flow of the same client address and port.
-            let lost = EndedFlow {
-                flow: segment.flow,
-                acknowledged: segment.acknowledgement,
-                process: self.member.process(),
-                answered: tracked.answered,
-            };
-            self.reset(lost, Reason::ServerLostIt, self.last_tick, out);
-            return;
-        }
+        // The server doesn't hold the flow, but another one may: the entry may be of an earlier flow
+        // of the same client address and port.
+        self.flows.remove(&segment.flow);
         let forward = Forward {
             service: pending.service,
             origin: pending.origin,
--- a/src/steering/log_event.rs
+++ b/src/steering/log_event.rs
@@ -31,8 +31,6 @@
     Replaced,
     /// The server announced its end to its agent.
     Left,
-    /// The server returned a packet of a flow that was open there.
-    ServerLostIt,
     /// The process whose flows an earlier run of the agent saved no longer runs.
     ServerEndedEarlier,
 }
--- a/tests/steering/used_ports.rs
+++ b/tests/steering/used_ports.rs
@@ -1,15 +1,124 @@
 //! Tests of flows whose clients use a port again, while entries of the earlier flow are left.
 
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use flamingofall::id::Sequence;
-use flamingofall::steering::agent;
+use flamingofall::id::{Incarnation, Sequence};
+use flamingofall::steering::agent::{self, Agent};
+use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::{Message, Owner};
 use flamingofall::steering::roster::State;
-use flamingofall::steering::segment::Kind;
+use flamingofall::steering::segment::{Kind, Segment};
 
 use super::fixture::*;
 
+/// A balancer and two agents, of which the first one's server had an earlier flow on the port.
+struct Cluster {
+    balancer: Balancer,
+    agents: Vec<Agent>,
+    /// Agent whose server holds the flow; the others return its packets.
+    holder: Option<SocketAddr>,
+    /// Messages on their way.
+    messages: VecDeque<(SocketAddr, Message)>,
+    /// Agent whose server has taken a packet.
+    taken_by: Option<SocketAddr>,
+    resets: usize,
+}
+
+impl Cluster {
+    fn new(holder: Option<SocketAddr>, now: Instant) -> Self {
+        let mut second = Agent::new(
+            agent_addr(2),
+            "portal".into(),
+            Incarnation(1),
+            Duration::from_millis(770),
+            now,
+        );
+        let ready = heartbeat("b", 1, 1, State::Ready);
+        second.heartbeat(ready, now, &mut Vec::new());
+        Self {
+            balancer: balancer(2, now),
+            agents: vec![agent_with_open_flow(now), second],
+            holder,
+            messages: VecDeque::new(),
+            taken_by: None,
+            resets: 0,
+        }
+    }
+
+    /// Sends a client's packet through the balancer and the agents.
+    fn send(&mut self, packet: Segment, now: Instant) {
+        let mut out = Vec::new();
+        self.balancer.packet(packet, vec![1], now, &mut out);
+        self.apply_balancer(out);
+        while let Some((to, message)) = self.messages.pop_front() {
+            if to == addr(BALANCER) {
+                let mut out = Vec::new();
+                let decode = decode_as(packet);
+                self.balancer
+                    .message(agent_addr(1), message, decode, now, &mut out);
+                self.apply_balancer(out);
+            } else {
+                self.deliver(to, message, packet, now);
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: SocketAddr, message: Message, packet: Segment, now: Instant) {
+        let mut agents = self.agents.iter_mut();
+        let agent = agents.find(|agent| agent.member().agent == to).unwrap();
+        let mut out = Vec::new();
+        let decode = decode_as(packet);
+        agent.message(addr(BALANCER), message, decode, now, &mut out);
+        if let Some(token) = delivered(&out) {
+            if self.holder == Some(to) {
+                self.taken_by = Some(to);
+            } else {
+                agent.packet_returned(packet, token, vec![1], &mut out);
+            }
+        }
+        self.resets += agent_resets(&out);
+        for output in out {
+            if let agent::Output::Send(to, message) = output {
+                self.messages.push_back((to, message));
+            }
+        }
+    }
+
+    fn apply_balancer(&mut self, out: Vec<balancer::Output>) {
+        self.resets += resets(&out);
+        for output in out {
+            if let balancer::Output::Send(to, message) = output {
+                self.messages.push_back((to, message));
+            }
+        }
+    }
+}
+
+/// An agent at whose server a flow has been open.
+fn agent_with_open_flow(now: Instant) -> Agent {
+    let mut agent = ready_agent(now);
+    let open = segment(flow(1), Kind::Open, 0);
+    forward_to_agent(&mut agent, open, forward("portal", Vec::new(), false), now);
+    for kind in [Kind::Accept, Kind::Data] {
+        let sent = segment(flow(1), kind, 5);
+        agent.server_packet(sent, vec![1], now, &mut Vec::new());
+    }
+    agent
+}
+
+/// The first agent's report that its server holds the flow.
+fn first_owner() -> Message {
+    Message::Owner(Owner {
+        client: flow(1).source,
+        address: flow(1).destination,
+        agent: agent_addr(1),
+        process: Some(member(1, "portal", State::Ready).process()),
+        accepted: None,
+    })
+}
+
 // Guards against a new flow whose packets go to the server of the earlier flow on the same port.
 #[test]
 fn new_owner_taken() {
@@ -118,3 +227,35 @@
     let kept = format!("{balancer:?}").matches("Acceptance {").count();
     assert!(kept <= 16, "{kept} acceptances are kept");
 }
+
+// Guards against an agent that resets a flow of another server because an earlier flow on the same
+// port, which ended without a packet, was open at its own.
+#[test]
+fn vanished_flow_searched() {
+    let start = Instant::now();
+    let mut cluster = Cluster::new(Some(agent_addr(2)), start);
+    let owner = first_owner();
+    cluster
+        .balancer
+        .message(agent_addr(1), owner, |_| None, start, &mut Vec::new());
+    let data = segment(flow(1), Kind::Data, 9000);
+    cluster.send(data, start + Duration::from_secs(3));
+    assert_eq!(cluster.taken_by, Some(agent_addr(2)));
+    assert_eq!(cluster.resets, 0);
+}
+
+// Guards against a client that waits for its deadline because its flow is lost: once no agent's
+// server holds it, it is reset, and only once.
+#[test]
+fn lost_flow_reset() {
+    let start = Instant::now();
+    let mut cluster = Cluster::new(None, start);
+    let owner = first_owner();
+    cluster
+        .balancer
+        .message(agent_addr(1), owner, |_| None, start, &mut Vec::new());
+    let data = segment(flow(1), Kind::Data, 9000);
+    cluster.send(data, start + Duration::from_secs(3));
+    assert_eq!(cluster.taken_by, None);
+    assert_eq!(cluster.resets, 1);
+}
