Report the owner of a flow once its server has answered

Balancer 10.0.0.3 looks a flow up at 15.534 s. Agent 10.1.0.1 has an entry of an earlier flow on the client's port and reports itself at once; its server returns the packet. At 17.913 s that server has a successor, and 10.0.0.3 resets the flow of server-6-50, which serves: reason=server_ended proof=taken_packet owner_ms=2372.

Cause: an agent answered a lookup from its entry before its server had taken the packet, although the report stands for a packet taken.

The report now goes out with the first packet, other than an acceptance or a reset, that the server sends after the lookup packet. A returned packet removes the entry and the report with it. Message layouts stay.

vanished_flow_not_reported (agent and balancer together) and taken_packet_reported failed before and pass.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -9,7 +9,7 @@
 use crate::steering::roster::State;
 use crate::steering::segment::{Kind, Segment};
 
-use super::{log_event, owner, Agent, Output, PENDING_MAX};
+use super::{log_event, Agent, Output, PENDING_MAX};
 
 /// How often the opening packet of a flow is forwarded by agents whose servers have all slots in
 /// use. After that, an agent forwards it only if its server's queue is full.
@@ -78,11 +78,7 @@
             tracked.record_request(&segment, now);
             if forward.lookup {
                 tracked.origin = Some(forward.origin);
-                tracked.lookup_pending = !tracked.accepts_requests();
-                if tracked.accepts_requests() {
-                    let owner = owner(flow, tracked, &self.member, None);
-                    out.push(Output::Send(forward.origin, Message::Owner(owner)));
-                }
+                tracked.lookup_pending = true;
             }
             if segment.kind == Kind::Reset {
                 self.flows.remove(&flow);
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -282,8 +282,9 @@
             }
         }
         tracked.finished |= segment.kind == Kind::Finish;
-        if accepted.is_some() || tracked.lookup_pending {
-            tracked.lookup_pending = false;
+        let established = !matches!(segment.kind, Kind::Accept | Kind::Reset);
+        let found = established && std::mem::take(&mut tracked.lookup_pending);
+        if accepted.is_some() || found {
             if let Some(origin) = tracked.origin {
                 let owner = owner(flow, tracked, &self.member, accepted);
                 out.push(Output::Send(origin, Message::Owner(owner)));
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -36,7 +36,9 @@
     pub at_most_once: bool,
     /// The balancer that sent the flow's opening packet or its last lookup.
     pub origin: Option<SocketAddr>,
-    /// Whether the origin is owed a report that this agent holds the flow.
+    /// Whether the origin is owed a report that this agent holds the flow, once its server sends a
+    /// packet. The entry alone shows nothing: it may be of an earlier flow of the same client
+    /// address and port.
     pub lookup_pending: bool,
     /// When the first packet of the flow arrived.
     pub first_packet_at: Instant,
--- a/tests/steering/used_ports.rs
+++ b/tests/steering/used_ports.rs
@@ -259,3 +259,58 @@
     assert_eq!(cluster.taken_by, None);
     assert_eq!(cluster.resets, 1);
 }
+
+// Guards against a balancer that takes an agent for the owner because of its entry of an earlier
+// flow on the port, and resets the flow of another server when that agent's server ends.
+#[test]
+fn vanished_flow_not_reported() {
+    let start = Instant::now();
+    let mut balancer = balancer(1, start);
+    let mut agent = agent_with_open_flow(start);
+    let renewed = heartbeat("a", 1, 2, State::Ready);
+    let now = start + Duration::from_secs(3);
+    agent.heartbeat(renewed, now, &mut Vec::new());
+    let data = segment(flow(1), Kind::Data, 9000);
+    let asked = forward("", vec![agent_addr(2)], true);
+    let mut out = forward_to_agent(&mut agent, data, asked, now);
+    let token = delivered(&out).unwrap();
+    agent.packet_returned(data, token, vec![1], &mut out);
+    agent.server_left("a", Some(1), now, &mut out);
+    assert_eq!(agent_resets(&out), 0);
+
+    let mut member = agent.member().clone();
+    for output in out {
+        if let agent::Output::Send(to, message) = output {
+            if to == addr(BALANCER) {
+                balancer.message(agent_addr(1), message, |_| None, now, &mut Vec::new());
+            }
+        }
+    }
+    let mut out = Vec::new();
+    member.sequence = Sequence(member.sequence.0 + 1);
+    balancer.merge_directory(vec![member], Vec::new(), now, &mut out);
+    assert_eq!(resets(&out), 0);
+}
+
+// Guards against lookups that go on although the server has answered, and against an agent that
+// reports a flow before its server has.
+#[test]
+fn taken_packet_reported() {
+    let now = Instant::now();
+    let mut agent = agent_with_open_flow(now);
+    let data = segment(flow(1), Kind::Data, 9000);
+    let reports = |out: &[agent::Output]| {
+        let owner = |output: &&agent::Output| matches!(output, agent::Output::Send(_, Message::Owner(owner)) if owner.accepted.is_none());
+        out.iter().filter(owner).count()
+    };
+    for (kind, expected) in [(Kind::Data, 1), (Kind::Finish, 1), (Kind::Reset, 0)] {
+        let asked = forward("", Vec::new(), true);
+        let out = forward_to_agent(&mut agent, data, asked, now);
+        assert_eq!(reports(&out), 0, "{kind}");
+        for times in [expected, 0] {
+            let mut out = Vec::new();
+            agent.server_packet(segment(flow(1), kind, 5), vec![1], now, &mut out);
+            assert_eq!(reports(&out), times, "{kind}");
+        }
+    }
+}
