Describe the installation when a download doesn't complete

A failure of graceful_shutdown said only that the answer was not complete after 30 s.

The message now has the bytes of each flow every 2 s, the caller's records, the counts of the fabric and of each server, and for each daemon whether it has exited, the end of its log and its metrics. What the test demands is unchanged.

Evidence: with all packets lost from the drain on and a time-out of 6 s (a scratch copy), the message shows 12 flows that stay at 5,000 bytes. The test itself passes (7.3 s).

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use anyhow::{ensure, Context, Result};
-use flamingofall_standins::caller::{Caller, Flow, Options};
+use anyhow::{bail, ensure, Context, Result};
+use flamingofall_standins::caller::{Caller, Flow, Options, Response};
 use flamingofall_standins::protocol::{Kind, Request, Status};
 use flamingofall_standins::store::Mode as StoreMode;
+use futures::future::join_all;
 
 #[path = "support/installation.rs"]
 mod installation;
@@ -21,6 +22,8 @@
 };
 const TIMEOUT: Duration = Duration::from_secs(30);
 const FLOWS: usize = 40;
+/// Interval at which the progress of downloads is recorded for the message of a failure.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
 fn request(id: &str, kind: Kind, size: u64, work_ms: u64) -> Request {
     Request {
@@ -78,6 +81,12 @@
     Ok(())
 }
 
+/// Returns the bytes of answers that each flow of a caller has received.
+fn received(caller: &Caller) -> Vec<u64> {
+    let records = caller.records();
+    records.iter().map(|record| record.bytes).collect()
+}
+
 /// Checks the guarantees that must hold at the end of every test: no request ran twice, and no
 /// packet was misdelivered.
 fn verify(installation: &Installation) -> Result<()> {
@@ -250,12 +259,27 @@
         node.server.drain();
         node.agent.drain()?;
     }
-    for download in downloads {
-        let response = download.await??;
-        ensure!(
-            response.correct && response.bytes == 3_000_000,
-            "{response:?}"
-        );
+    let mut progress = Vec::new();
+    let mut samples = tokio::time::interval(PROGRESS_INTERVAL);
+    let mut downloads = join_all(downloads);
+    let responses = loop {
+        tokio::select! {
+            responses = &mut downloads => break responses,
+            _ = samples.tick() => progress.push(received(&caller)),
+        }
+    };
+    progress.push(received(&caller));
+    for (number, response) in responses.into_iter().enumerate() {
+        let response = response?;
+        let complete = |response: &Response| response.correct && response.bytes == 3_000_000;
+        if !response.as_ref().is_ok_and(complete) {
+            bail!(
+                "download {number}: {response:?}\nbytes of each flow every \
+                 {PROGRESS_INTERVAL:?}: {progress:?}\nflows: {:?}\n{}",
+                caller.records(),
+                installation.report().await
+            );
+        }
     }
     eventually("the balancer has ended", || {
         installation.balancers[0].has_exited()
--- a/tests/support/installation.rs
+++ b/tests/support/installation.rs
@@ -37,6 +37,8 @@
 const HTTP_PORT: u16 = 7100;
 /// Maximum time for which a draining agent waits for its flows to close.
 const DRAIN_TIME: Duration = Duration::from_secs(60);
+/// Maximum number of log lines of each daemon in [`Installation::report`].
+const REPORTED_LINES: usize = 40;
 /// Maximum time for a daemon to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -187,6 +189,24 @@
         Ok(())
     }
 
+    /// Returns the end of the daemon's log and, while it runs, its metrics.
+    async fn report(&self) -> String {
+        let mut report = format!("{}: exited={}", self.name, self.has_exited());
+        if let Ok(process) = self.process() {
+            let lines = process.lines();
+            let skipped = lines.len().saturating_sub(REPORTED_LINES);
+            let last = lines.iter().skip(skipped);
+            report.extend(last.map(|line| format!("\n  {}", line.text)));
+        }
+        let url = format!("http://{}/metrics", self.http);
+        if let Ok(answer) = http::call(Method::GET, &url, "", Duration::from_secs(1)).await {
+            let metrics = String::from_utf8_lossy(&answer.body).into_owned();
+            let values = metrics.lines().filter(|line| !line.starts_with('#'));
+            report.extend(values.map(|line| format!("\n  {line}")));
+        }
+        report
+    }
+
     pub fn has_exited(&self) -> bool {
         match &self.handle {
             DaemonHandle::Task { task, .. } => task.is_finished(),
@@ -457,6 +477,20 @@
         digits.collect()
     }
 
+    /// Describes the fabric, all servers and all daemons, for the message of a failure.
+    pub async fn report(&self) -> String {
+        let mut lines = vec![format!("fabric: {:?}", self.fabric.counts())];
+        for node in &self.nodes {
+            let name = &node.agent.name;
+            lines.push(format!("server of {name}: {:?}", node.server.counts()));
+            lines.push(node.agent.report().await);
+        }
+        for balancer in &self.balancers {
+            lines.push(balancer.report().await);
+        }
+        lines.join("\n")
+    }
+
     /// Attaches a new caller to the fabric.
     pub fn caller(&mut self) -> Caller {
         let ip = IpAddr::from([203, 0, 113, self.next_caller]);
