Confirm a flow by a heartbeat that was sent after its acceptance

What callers could see: open flows of a new server reset by the host's agent (reason=replaced) and by balancers (server_ended), if the server that had crashed before it left heartbeats that the agent handled late.

Cause: an agent took the arrival of a heartbeat for proof that its process ran until then. A heartbeat may wait while the agent is slow, suspended or not started; it then confirmed flows that the next process had accepted, and that one's first heartbeat ended them.

A process sends a heartbeat after the answer to the one before, so a heartbeat shows that its process ran when the one before arrived. Flows accepted until then are confirmed. Heartbeats that arrive together show nothing: their sender had given up waiting. Flows in doubt stay when the process is replaced, and the next server decides by returning their packets. The time that counts is that of the acceptance: an opening packet may have arrived before, for a server that crashed.

Evidence: late_heartbeats failed before (one reset by the agent).

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -173,7 +173,7 @@
                 flow: segment.flow,
                 acknowledged: segment.acknowledgement,
                 process: self.member.process(),
-                answered: tracked.answered,
+                answered: tracked.answered_at.is_some(),
             };
             self.reset(lost, Reason::ServerLostIt, self.last_tick, out);
             return;
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -106,6 +106,8 @@
     /// Number of heartbeats that the server's process has sent.
     server_heartbeats: u32,
     last_heartbeat: Option<Instant>,
+    /// The server's process certainly ran until then; none before its second heartbeat.
+    ran_until: Option<Instant>,
     /// The last ignored heartbeat of a process that started earlier than the current one.
     earlier_heartbeat: Option<Heartbeat>,
     heartbeat_interval: Duration,
@@ -155,6 +157,7 @@
             server_sequence: 0,
             server_heartbeats: 0,
             last_heartbeat: None,
+            ran_until: None,
             earlier_heartbeat: None,
             heartbeat_interval,
             flows: HashMap::new(),
@@ -258,7 +261,7 @@
             .entry(flow)
             .or_insert_with(|| AgentFlow::new(None, now));
         tracked.last_packet_at = now;
-        tracked.answered = true;
+        tracked.answered_at.get_or_insert(now);
         let accepted = (segment.kind == Kind::Accept).then_some(segment.sequence);
         if let Some(sequence) = accepted {
             tracked.record_acceptance(sequence, now);
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -49,6 +49,11 @@
             true => self.server_heartbeats.saturating_add(1),
             false => 1,
         };
+        self.ran_until = match same {
+            true if self.heartbeat_timely(now) => self.last_heartbeat,
+            true => self.ran_until,
+            false => None,
+        };
         self.last_heartbeat = Some(now);
         let mut member = self.member.clone();
         member.server = heartbeat.server;
@@ -77,6 +82,14 @@
         succeeds
     }
 
+    /// Whether a heartbeat that arrives now was sent after the last one had arrived. Several that
+    /// waited for the agent arrive at once, and their sender may have crashed.
+    fn heartbeat_timely(&self, now: Instant) -> bool {
+        self.last_heartbeat.is_some_and(|heard| {
+            now.saturating_duration_since(heard) >= self.heartbeat_interval / 2
+        })
+    }
+
     /// Whether the server's process has been silent for [`MISSED_HEARTBEATS_MAX`] intervals.
     pub(super) fn heartbeats_missing(&self, now: Instant) -> bool {
         self.last_heartbeat.is_some_and(|heard| {
@@ -191,12 +204,13 @@
     }
 
     /// Removes the flows of a server process that has ended, and resets the open ones. Keeps flows
-    /// that began after its last heartbeat: the next process may have accepted them before its own
-    /// first heartbeat.
+    /// that were accepted when it may not have run any more: the next process may have accepted them
+    /// before its own first heartbeat. If it doesn't hold them, it returns their next packets.
     fn end_server_flows(&mut self, reason: Reason, now: Instant, out: &mut Vec<Output>) {
-        let last_heartbeat = self.last_heartbeat.unwrap_or(now);
-        let keep =
-            |tracked: &AgentFlow| tracked.answered && tracked.first_packet_at > last_heartbeat;
+        let ran_until = self.ran_until;
+        let keep = |tracked: &AgentFlow| {
+            !tracked.confirmed && tracked.answered_at.is_some_and(|at| Some(at) > ran_until)
+        };
         self.saved.clear();
         self.meter.clear();
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| !keep(tracked)).collect();
@@ -209,17 +223,21 @@
                 flow,
                 acknowledged: tracked.acknowledged,
                 process: self.member.process(),
-                answered: tracked.answered,
+                answered: tracked.answered_at.is_some(),
             };
             self.reset(ended, reason, now, out);
         }
     }
 
-    /// Confirms the open flows that began since the last heartbeat, now that the server of `member`
-    /// has sent one, and reports them. This must precede the announcement of a new server, on which
+    /// Confirms the open flows that were accepted while the process of `member` certainly ran, and
+    /// reports them. This must precede the announcement of a new server, on which
     /// balancers reset the flows of the previous one.
     fn confirm_flows(&mut self, member: &Member, out: &mut Vec<Output>) {
-        let unconfirmed = |tracked: &AgentFlow| tracked.accepts_requests() && !tracked.confirmed;
+        let ran_until = self.ran_until;
+        let unconfirmed = |tracked: &AgentFlow| {
+            let accepted_before = tracked.answered_at.is_some_and(|at| Some(at) <= ran_until);
+            accepted_before && tracked.accepts_requests() && !tracked.confirmed
+        };
         let mut reports = Vec::new();
         for (flow, tracked) in self.flows.iter_mut().filter(|(_, t)| unconfirmed(t)) {
             tracked.confirmed = true;
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -15,12 +15,13 @@
     /// Whether the flow is established: the server has sent a packet other than its acceptance, or
     /// the flow comes from a snapshot.
     pub open: bool,
-    /// Whether the server's current process is certainly the only one that can hold the flow: it has
-    /// sent a heartbeat while the flow was open, or is the one that the snapshot names. Before that,
-    /// a process that the agent hasn't heard of yet may have accepted the flow.
+    /// Whether the server's current process is certainly the only one that can hold the flow: it ran
+    /// after the flow was accepted, or is the one that the snapshot names. Before that, a process
+    /// that the agent hasn't heard of yet may have accepted the flow.
     pub confirmed: bool,
-    /// Whether the server has sent a packet of the flow.
-    pub answered: bool,
+    /// When the server accepted the flow, or first sent a packet of it if the acceptance wasn't
+    /// seen.
+    pub answered_at: Option<Instant>,
     /// When the client sent the request that has no answer yet.
     pub request_since: Option<Instant>,
     /// Sequence number that follows the client's last data.
@@ -65,6 +66,7 @@
             self.request_since = None;
             self.sent_end = None;
             self.first_packet_at = now;
+            self.answered_at = Some(now);
         }
         self.acceptance = Some(sequence);
     }
@@ -86,7 +88,7 @@
         Self {
             open: false,
             confirmed: false,
-            answered: false,
+            answered_at: None,
             request_since: None,
             sent_end: None,
             acceptance: None,
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -121,6 +121,37 @@
     assert_eq!(resets(&out), 0);
 }
 
+// Guards against heartbeats of a crashed server that wait until its successor has accepted a flow,
+// and confirm that flow for the crashed one, so that the successor's own heartbeat ends it.
+#[test]
+fn late_heartbeats() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (mut agent, mut balancer) = pair(start);
+    let mut sent = accept(&mut agent, at(500));
+    deliver(&mut balancer, std::mem::take(&mut sent), at(500));
+    choose(&mut balancer, at(500));
+    sent.extend(answer(&mut agent, Kind::Data, at(500)));
+    for sequence in 2..=4 {
+        sent.extend(beat(&mut agent, "a", 1, sequence, State::Ready, at(501)));
+    }
+    let mut out = Vec::new();
+    agent.heartbeat(heartbeat("b", 2, 1, State::Ready), at(510), &mut out);
+    assert_eq!(agent_resets(&out), 0);
+    sent.extend(messages(out));
+    assert_eq!(resets(&deliver(&mut balancer, sent, at(510))), 0);
+
+    // The flow ends with the process that holds it.
+    for (sequence, millis) in [(2, 1280), (3, 2050)] {
+        let sent = beat(&mut agent, "b", 2, sequence, State::Ready, at(millis));
+        deliver(&mut balancer, sent, at(millis));
+    }
+    let mut out = Vec::new();
+    agent.heartbeat(heartbeat("c", 3, 1, State::Ready), at(2500), &mut out);
+    assert_eq!(agent_resets(&out), 1);
+    assert_eq!(resets(&deliver(&mut balancer, messages(out), at(2500))), 1);
+}
+
 // Guards against resets by a balancer that reads an older record in the directory after the agent
 // has reported a flow of its present server.
 #[test]
@@ -153,6 +184,7 @@
     deliver(&mut balancer, accepted, now);
     choose(&mut balancer, now);
     answer(&mut agent, Kind::Data, now);
+    let now = now + Duration::from_millis(770);
     let heard = beat(&mut agent, "a", 1, 2, State::Ready, now);
     deliver(&mut balancer, heard, now);
 
@@ -175,6 +207,8 @@
     beat(&mut agent, "a", 9, 1, State::Ready, now);
     accept(&mut agent, now);
     answer(&mut agent, Kind::Data, now);
+    let now = now + Duration::from_millis(770);
+    beat(&mut agent, "a", 9, 2, State::Ready, now);
     let mut out = Vec::new();
     agent.server_left("a", Some(1), now, &mut out);
     assert_eq!(agent_resets(&out), 0);
