Date a flow from its acceptance at the agent

Clients got a reset of an open flow from the host of its server. The server had been replaced; its successor accepted a copy of the opening packet before its own first heartbeat.

An agent keeps the flows that began after the last heartbeat of the process that has ended, as the next one may hold them. It dated a flow from its first packet. If the earlier process left the first opening packet unanswered, sent a last heartbeat and ended, the flow that the next process then accepted from a copy seemed older than that heartbeat, and the agent reset it. A flow is now dated from its acceptance.

--- a/src/steering/agent/persistence.rs
+++ b/src/steering/agent/persistence.rs
@@ -87,7 +87,7 @@
         }
         let lasting = |tracked: &AgentFlow| {
             tracked.accepts_requests()
-                && now.saturating_duration_since(tracked.first_packet_at) >= SAVED_FLOW_AGE_MIN
+                && now.saturating_duration_since(tracked.began_at) >= SAVED_FLOW_AGE_MIN
         };
         let open = self.flows.iter().filter(|(_, tracked)| lasting(tracked));
         let missing = open
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -195,8 +195,7 @@
     /// first heartbeat.
     fn end_server_flows(&mut self, reason: Reason, now: Instant, out: &mut Vec<Output>) {
         let last_heartbeat = self.last_heartbeat.unwrap_or(now);
-        let keep =
-            |tracked: &AgentFlow| tracked.answered && tracked.first_packet_at > last_heartbeat;
+        let keep = |tracked: &AgentFlow| tracked.answered && tracked.began_at > last_heartbeat;
         self.saved.clear();
         self.meter.clear();
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| !keep(tracked)).collect();
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -38,8 +38,8 @@
     pub origin: Option<SocketAddr>,
     /// Whether the origin is owed a report that this agent holds the flow.
     pub lookup_pending: bool,
-    /// When the first packet of the flow arrived.
-    pub first_packet_at: Instant,
+    /// When the server accepted the flow; the arrival of the first packet until that is known.
+    pub began_at: Instant,
     /// When the last packet of the flow arrived.
     pub last_packet_at: Instant,
 }
@@ -64,7 +64,9 @@
             self.finished = false;
             self.request_since = None;
             self.sent_end = None;
-            self.first_packet_at = now;
+        }
+        if self.acceptance != Some(sequence) && !self.open {
+            self.began_at = now;
         }
         self.acceptance = Some(sequence);
     }
@@ -95,7 +97,7 @@
             at_most_once: true,
             origin,
             lookup_pending: false,
-            first_packet_at: now,
+            began_at: now,
             last_packet_at: now,
         }
     }
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -1,6 +1,7 @@
 //! Tests of single decisions of the balancer and the agent. `emulator/tests` runs whole systems.
 
 mod completeness;
+mod confirmation;
 mod evidence;
 mod fixture;
 mod identity;
