--- a/src/steering/agent/persistence.rs
+++ b/src/steering/agent/persistence.rs
@@ -87,6 +87,7 @@
         }
         let lasting = |tracked: &AgentFlow| {
             tracked.accepts_requests()
+                && !tracked.may_be_of_successor(self.last_heartbeat)
                 && now.saturating_duration_since(tracked.began_at) >= SAVED_FLOW_AGE_MIN
         };
         let open = self.flows.iter().filter(|(_, tracked)| lasting(tracked));
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -194,8 +194,8 @@
     /// that began after its last heartbeat: the next process may have accepted them before its own
     /// first heartbeat.
     fn end_server_flows(&mut self, reason: Reason, now: Instant, out: &mut Vec<Output>) {
-        let last_heartbeat = self.last_heartbeat.unwrap_or(now);
-        let keep = |tracked: &AgentFlow| tracked.answered && tracked.began_at > last_heartbeat;
+        let last_heartbeat = self.last_heartbeat;
+        let keep = |tracked: &AgentFlow| tracked.may_be_of_successor(last_heartbeat);
         self.saved.clear();
         self.meter.clear();
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| !keep(tracked)).collect();
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -82,6 +82,12 @@
         self.open && !self.finished
     }
 
+    /// Whether the next process may have accepted the flow before its own first heartbeat: the flow
+    /// began after the last heartbeat of the current process.
+    pub fn may_be_of_successor(&self, last_heartbeat: Option<Instant>) -> bool {
+        self.answered && last_heartbeat.is_some_and(|heard| self.began_at > heard)
+    }
+
     /// Creates a flow whose acceptance by the server isn't known yet. Its requests count as
     /// at-most-once until a balancer says otherwise.
     pub fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
--- a/tests/steering/confirmation.rs
+++ b/tests/steering/confirmation.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use flamingofall::id::Incarnation;
 use flamingofall::steering::agent::{self, Agent};
 use flamingofall::steering::balancer::Balancer;
 use flamingofall::steering::roster::State;
@@ -69,6 +70,19 @@
     deliver(sent, balancer, now)
 }
 
+/// The agent after a restart.
+fn new_run(agent: &Agent, now: Instant) -> Agent {
+    let mut agent = Agent::new(
+        agent.member().agent,
+        "portal".into(),
+        Incarnation(2),
+        Duration::from_millis(770),
+        now,
+    );
+    agent.add_balancer(addr(BALANCER), now);
+    agent
+}
+
 // Guards against resets of a flow whose opening packet the earlier process didn't answer, and whose
 // copy the next one accepted before its first heartbeat.
 #[test]
@@ -88,6 +102,32 @@
     assert_eq!(beat(&mut agent, &mut balancer, (2, 1), at(900)), 0);
 }
 
+// Guards against resets by a restarted agent of a flow that a new process accepted before its first
+// heartbeat: the last snapshot names the earlier process.
+#[test]
+fn snapshot_before_heartbeat() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (mut agent, mut balancer) = pair(start);
+    let mut sent = Vec::new();
+    for millis in (0..10_050).step_by(50) {
+        agent.tick(at(millis), &mut sent);
+        if millis % 500 == 0 && millis <= 9000 {
+            beat(&mut agent, &mut balancer, (1, 2 + millis / 500), at(millis));
+        }
+        if millis == 9500 {
+            open(&mut agent, &mut balancer, at(millis));
+        }
+    }
+    let mut agent = new_run(&agent, at(10_100));
+    for output in sent {
+        if let agent::Output::Save(snapshot) = output {
+            agent.restore(snapshot, at(10_150), &mut Vec::new());
+        }
+    }
+    assert_eq!(beat(&mut agent, &mut balancer, (2, 1), at(10_250)), 0);
+}
+
 // Guards against clients that go on using a flow that ended with its server's process.
 #[test]
 fn confirmed_flow_reset() {
