Keep the time of the last heartbeat through a suspension

Clients got a reset of an open flow from the host of its server, after the server had been replaced and its agent suspended before the first heartbeat of the new process.

So that a pause of its own doesn't pass for silence of the server, an agent moved the time of the last heartbeat forward by the pause. The same time decides which flows the next process may hold. Flows that began before the suspension then seemed older than the heartbeat, and the agent reset them. The silence now has a time of its own.

Evidence: suspension_before_heartbeat fails before with one reset and passes now.

--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -106,6 +106,8 @@
     /// Number of heartbeats that the server's process has sent.
     server_heartbeats: u32,
     last_heartbeat: Option<Instant>,
+    /// Start of the server's silence: its last heartbeat, moved forward by pauses of this process.
+    silent_since: Option<Instant>,
     /// The last ignored heartbeat of a process that started earlier than the current one.
     earlier_heartbeat: Option<Heartbeat>,
     heartbeat_interval: Duration,
@@ -155,6 +157,7 @@
             server_sequence: 0,
             server_heartbeats: 0,
             last_heartbeat: None,
+            silent_since: None,
             earlier_heartbeat: None,
             heartbeat_interval,
             flows: HashMap::new(),
@@ -304,7 +307,7 @@
                 Topic::Resumed,
                 format!("pause_ms={}", pause.as_millis()),
             ));
-            self.last_heartbeat = self.last_heartbeat.map(|heard| heard + pause);
+            self.silent_since = self.silent_since.map(|since| since + pause);
         }
         if self.heartbeats_missing(now) && self.member.state == State::Ready {
             self.set_state(State::Waiting, "heartbeats_missing", now, out);
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -50,6 +50,7 @@
             false => 1,
         };
         self.last_heartbeat = Some(now);
+        self.silent_since = Some(now);
         let mut member = self.member.clone();
         member.server = heartbeat.server;
         member.started = heartbeat.started;
@@ -79,8 +80,8 @@
 
     /// Whether the server's process has been silent for [`MISSED_HEARTBEATS_MAX`] intervals.
     pub(super) fn heartbeats_missing(&self, now: Instant) -> bool {
-        self.last_heartbeat.is_some_and(|heard| {
-            now.saturating_duration_since(heard) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
+        self.silent_since.is_some_and(|since| {
+            now.saturating_duration_since(since) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
         })
     }
 
--- a/tests/steering/confirmation.rs
+++ b/tests/steering/confirmation.rs
@@ -128,6 +128,20 @@
     assert_eq!(beat(&mut agent, &mut balancer, (2, 1), at(10_250)), 0);
 }
 
+// Guards against resets of a flow that a new process accepted before its first heartbeat, when the
+// agent was suspended in between.
+#[test]
+fn suspension_before_heartbeat() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (mut agent, mut balancer) = pair(start);
+    open(&mut agent, &mut balancer, at(400));
+    for millis in [400, 1400] {
+        agent.tick(at(millis), &mut Vec::new());
+    }
+    assert_eq!(beat(&mut agent, &mut balancer, (2, 1), at(1410)), 0);
+}
+
 // Guards against clients that go on using a flow that ended with its server's process.
 #[test]
 fn confirmed_flow_reset() {
