Show resets of flows that a delayed heartbeat confirms

A single heartbeat confirms all flows that are open at its arrival. If it is a delayed one of an earlier process, the first heartbeat of the process that holds them ends them: the agent resets them, and so does the balancer that the agent has told the wrong process.

late_last_heartbeat: the predecessor's last heartbeat arrives after the new process has accepted a flow. restart_before_late_heartbeat: it is the first that a restarted agent gets. Each sees two resets, one by the agent and one by the balancer, on and now.

--- a/tests/steering/confirmation.rs
+++ b/tests/steering/confirmation.rs
@@ -142,6 +142,35 @@
     assert_eq!(beat(&mut agent, &mut balancer, (2, 1), at(1410)), 0);
 }
 
+// Guards against resets of a flow that a new process accepted before its first heartbeat, when the
+// last heartbeat of the earlier one arrives after that.
+#[test]
+fn late_last_heartbeat() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (mut agent, mut balancer) = pair(start);
+    open(&mut agent, &mut balancer, at(500));
+    assert_eq!(beat(&mut agent, &mut balancer, (1, 2), at(510)), 0);
+    assert_eq!(beat(&mut agent, &mut balancer, (2, 1), at(900)), 0);
+}
+
+// Guards against resets of a living server's flows, when the first heartbeat that its restarted
+// agent gets is a delayed one of an earlier process.
+#[test]
+fn restart_before_late_heartbeat() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (mut agent, mut balancer) = pair(start);
+    open(&mut agent, &mut balancer, at(500));
+    let mut agent = new_run(&agent, at(1000));
+    answer(&mut agent, &mut balancer, at(1100));
+    let earlier = heartbeat("b", 0, 9, State::Ready);
+    let mut sent = Vec::new();
+    agent.heartbeat(earlier, at(1200), &mut sent);
+    assert_eq!(deliver(sent, &mut balancer, at(1200)), 0);
+    assert_eq!(beat(&mut agent, &mut balancer, (1, 2), at(1300)), 0);
+}
+
 // Guards against clients that go on using a flow that ended with its server's process.
 #[test]
 fn confirmed_flow_reset() {
