--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -108,6 +108,8 @@
     last_heartbeat: Option<Instant>,
     /// The server's process certainly ran until then; none before its second heartbeat.
     ran_until: Option<Instant>,
+    /// Start of the server's silence: its last heartbeat, moved forward by pauses of this process.
+    silent_since: Option<Instant>,
     /// The last ignored heartbeat of a process that started earlier than the current one.
     earlier_heartbeat: Option<Heartbeat>,
     heartbeat_interval: Duration,
@@ -158,6 +160,7 @@
             server_heartbeats: 0,
             last_heartbeat: None,
             ran_until: None,
+            silent_since: None,
             earlier_heartbeat: None,
             heartbeat_interval,
             flows: HashMap::new(),
@@ -308,7 +311,7 @@
                 Topic::Resumed,
                 format!("pause_ms={}", pause.as_millis()),
             ));
-            self.last_heartbeat = self.last_heartbeat.map(|heard| heard + pause);
+            self.silent_since = self.silent_since.map(|since| since + pause);
         }
         if self.heartbeats_missing(now) && self.member.state == State::Ready {
             self.set_state(State::Waiting, "heartbeats_missing", now, out);
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -55,6 +55,7 @@
             false => None,
         };
         self.last_heartbeat = Some(now);
+        self.silent_since = Some(now);
         let mut member = self.member.clone();
         member.server = heartbeat.server;
         member.started = heartbeat.started;
@@ -92,8 +93,8 @@
 
     /// Whether the server's process has been silent for [`MISSED_HEARTBEATS_MAX`] intervals.
     pub(super) fn heartbeats_missing(&self, now: Instant) -> bool {
-        self.last_heartbeat.is_some_and(|heard| {
-            now.saturating_duration_since(heard) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
+        self.silent_since.is_some_and(|since| {
+            now.saturating_duration_since(since) > self.heartbeat_interval * MISSED_HEARTBEATS_MAX
         })
     }
 
@@ -208,9 +209,7 @@
     /// before its own first heartbeat. If it doesn't hold them, it returns their next packets.
     fn end_server_flows(&mut self, reason: Reason, now: Instant, out: &mut Vec<Output>) {
         let ran_until = self.ran_until;
-        let keep = |tracked: &AgentFlow| {
-            !tracked.confirmed && tracked.answered_at.is_some_and(|at| Some(at) > ran_until)
-        };
+        let keep = |tracked: &AgentFlow| !tracked.confirmed && tracked.accepted_after(ran_until);
         self.saved.clear();
         self.meter.clear();
         let mut ended: Vec<_> = self.flows.extract_if(|_, tracked| !keep(tracked)).collect();
@@ -230,13 +229,13 @@
     }
 
     /// Confirms the open flows that were accepted while the process of `member` certainly ran, and
-    /// reports them. This must precede the announcement of a new server, on which
-    /// balancers reset the flows of the previous one.
+    /// reports them. This must precede the announcement of a new server, on which balancers reset
+    /// the flows of the previous one.
     fn confirm_flows(&mut self, member: &Member, out: &mut Vec<Output>) {
         let ran_until = self.ran_until;
         let unconfirmed = |tracked: &AgentFlow| {
-            let accepted_before = tracked.answered_at.is_some_and(|at| Some(at) <= ran_until);
-            accepted_before && tracked.accepts_requests() && !tracked.confirmed
+            let certain = tracked.answered_at.is_some() && !tracked.accepted_after(ran_until);
+            certain && tracked.accepts_requests() && !tracked.confirmed
         };
         let mut reports = Vec::new();
         for (flow, tracked) in self.flows.iter_mut().filter(|(_, t)| unconfirmed(t)) {
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -84,6 +84,11 @@
         self.open && !self.finished
     }
 
+    /// Whether a server accepted the flow after `time`, or at any time if there is none.
+    pub fn accepted_after(&self, time: Option<Instant>) -> bool {
+        self.answered_at.is_some_and(|at| Some(at) > time)
+    }
+
     /// Creates a flow whose acceptance by the server isn't known yet. Its requests count as
     /// at-most-once until a balancer says otherwise.
     pub fn new(origin: Option<SocketAddr>, now: Instant) -> Self {
