--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -103,10 +103,10 @@
     member: Member,
     /// Sequence number of the last heartbeat of the server's process.
     server_sequence: u64,
-    /// Number of heartbeats that the server's process has sent.
-    server_heartbeats: u32,
+    /// When the last heartbeat arrived, on time or late.
     last_heartbeat: Option<Instant>,
-    /// The server's process certainly ran until then; none before its second heartbeat.
+    /// The server's process certainly ran until then: a heartbeat is sent after the answer to the one
+    /// before. None until a second heartbeat has arrived that didn't wait together with the first.
     ran_until: Option<Instant>,
     /// Start of the server's silence: its last heartbeat, moved forward by pauses of this process.
     silent_since: Option<Instant>,
@@ -157,7 +157,6 @@
                 slots: Slots(1),
             },
             server_sequence: 0,
-            server_heartbeats: 0,
             last_heartbeat: None,
             ran_until: None,
             silent_since: None,
--- a/src/steering/agent/persistence.rs
+++ b/src/steering/agent/persistence.rs
@@ -21,9 +21,6 @@
 /// Longest time between snapshots. Clients accept a reset only near their last acknowledgement, so
 /// the saved numbers must not get too old.
 pub(super) const SAVE_INTERVAL: Duration = Duration::from_secs(10);
-/// Number of heartbeats that show that a process runs which started before the one in the snapshot:
-/// the host's clock was set back. A single one may have been delayed.
-const CERTAIN_HEARTBEATS_MIN: u32 = 2;
 /// Maximum number of flows in a snapshot, which keeps it far below the size limit of an object in
 /// the directory.
 const SAVED_FLOWS_MAX: usize = 10_000;
@@ -37,18 +34,19 @@
     }
 
     /// Keeps the flows of the previous snapshot if their server's process still runs, or else
-    /// resets them. Does nothing before the first heartbeat, and awaits the second one if the first
-    /// may be a delayed one of an earlier process.
+    /// resets them. Does nothing before the first heartbeat, and awaits another one if the first may
+    /// be a delayed one of an earlier process.
     pub(super) fn resolve_previous_snapshot(&mut self, now: Instant, out: &mut Vec<Output>) {
         if self.member.server.is_empty() {
             return;
         }
         let current = self.member.process();
-        let (started, beats) = (self.member.started, self.server_heartbeats);
+        let started = self.member.started;
+        // A process that started before the one in the snapshot runs after it if the host's clock
+        // was set back.
+        let certain = self.ran_until.is_some();
         let resolved = |previous: &mut Snapshot| {
-            previous.process == current
-                || previous.started < started
-                || beats >= CERTAIN_HEARTBEATS_MIN
+            previous.process == current || previous.started < started || certain
         };
         let Some(previous) = self.previous_snapshot.take_if(resolved) else {
             return;
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -45,10 +45,6 @@
             self.end_server_flows(Reason::Replaced, now, out);
         }
         self.server_sequence = heartbeat.sequence;
-        self.server_heartbeats = match same {
-            true => self.server_heartbeats.saturating_add(1),
-            false => 1,
-        };
         self.ran_until = match same {
             true if self.heartbeat_timely(now) => self.last_heartbeat,
             true => self.ran_until,
--- a/src/steering/snapshot.rs
+++ b/src/steering/snapshot.rs
@@ -17,8 +17,8 @@
     /// Start of that process in Unix milliseconds; zero if not known.
     #[serde(default)]
     pub started: u64,
-    /// Open flows of the process, ordered by client. Those that began after its last heartbeat are
-    /// missing, as the next process may hold them.
+    /// Open flows of the process, ordered by client. Those accepted after its last heartbeat
+    /// are missing, as the next process may hold them.
     pub flows: Vec<SavedFlow>,
 }
 
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -344,15 +344,16 @@
     assert_eq!(agent_resets(&out), 0);
 }
 
-// Guards against resets of all flows of a living server when a delayed heartbeat of an earlier one
-// is the first that a restarted agent gets, and against a snapshot that is never resolved after the
+// Guards against resets of all flows of a living server when delayed heartbeats of an earlier one
+// are the first that a restarted agent gets, and against a snapshot that is never resolved after the
 // host's clock was set back.
 #[test]
 fn delayed_heartbeat() {
     let now = Instant::now();
     let mut process = member(1, "portal", State::Ready);
     (process.server, process.started) = ("b".into(), 2);
-    for (second, expected) in [(("b", 2), 0), (("a", 1), 1)] {
+    // Two that arrive at once have waited for the agent.
+    for (second, millis, expected) in [(("b", 2), 770, 0), (("a", 1), 1, 0), (("a", 1), 770, 1)] {
         let mut agent = new_agent(2, now);
         let saved = SavedFlow {
             client: flow(1).source,
@@ -370,7 +371,7 @@
         agent.heartbeat(first, now, &mut out);
         assert_eq!(agent_resets(&out), 0);
         let second = heartbeat(second.0, second.1, 6, State::Ready);
-        agent.heartbeat(second, now, &mut out);
+        agent.heartbeat(second, now + Duration::from_millis(millis), &mut out);
         assert_eq!(agent_resets(&out), expected);
     }
 }
