--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -101,7 +101,7 @@
 // Guards against lookups that stop at a host that is lost for good before they have asked all
 // others.
 #[test]
-fn gone_not_searched() {
+fn ended_searched_last() {
     let now = Instant::now();
     let mut roster = Roster::default();
     for index in 1..=6 {
