List the reset of a flow whose client has few ports as known red

What callers could see: an open flow reset by the agent of another server when that one ends, reason=left, if an earlier flow on the client's port was open there and ended without a packet. A balancer that the earlier flow went through may do the same, reason=server_ended.

Cause: neither has seen a packet of the new flow, so their entry still says that the earlier one is open.

Not fixed: neither process can know better without a packet. A reset only for flows with recent packets wouldn't tell idle flows from ended ones.

--- a/emulator/tests/aimed.rs
+++ b/emulator/tests/aimed.rs
@@ -109,6 +109,15 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+// Guards against resets by an agent whose server ends while it keeps an entry of an earlier flow on
+// the port, which ended without a packet.
+#[test]
+fn few_client_ports() {
+    let scenario = read("few-ports.json").with_aimed_events(5028);
+    let violations = simulation::simulate(scenario, 5028).violations;
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 // Guards against scenario files that the emulator refuses.
 #[test]
 fn files_readable() {
