Reset only recently used flows when a server ends

Cause: the client's finish of the earlier flow was lost, so the agent's entry stayed open, and the end of the agent's server reset it.

Change: when its server ends, an agent resets flows whose client it has heard within 3.5 s: a client that awaits something retransmits every 1.6 s. Balancers reset the others from their own tables, which forget an owner once the port is opened again. A balancer that has restarted since resets nothing there; the client's next packet is searched.

Ruled out: a notice from the balancer that places the next flow, as that balancer may have restarted; a bound of 2 s, which the test late_heartbeats rejects.

Evidence: few_client_ports and the new test unused_flow_not_reset failed before and pass.

Also removed: the out-of-date sentence above confirm_flows.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -67,6 +67,7 @@
                 .entry(flow)
                 .or_insert_with(|| AgentFlow::new(Some(forward.origin), now));
             tracked.at_most_once = forward.at_most_once;
+            tracked.client_packet_at = now;
         } else {
             let tracked = self
                 .flows
@@ -75,6 +76,7 @@
             tracked.acknowledged = segment.acknowledgement;
             tracked.at_most_once = forward.at_most_once;
             tracked.last_packet_at = now;
+            tracked.client_packet_at = now;
             tracked.record_request(&segment, now);
             if forward.lookup {
                 tracked.origin = Some(forward.origin);
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -200,9 +200,13 @@
         self.announce(now, out);
     }
 
-    /// Removes the flows of a server process that has ended, and resets the open ones. Keeps flows
-    /// that were accepted when it may not have run any more: the next process may have accepted them
-    /// before its own first heartbeat. If it doesn't hold them, it returns their next packets.
+    /// Removes the flows of a server process that has ended, and resets the open ones that their
+    /// clients have used recently. Balancers reset the others, unless they have seen their clients
+    /// open other flows from the same ports.
+    ///
+    /// Keeps flows that were accepted when the process may not have run any more: the next process
+    /// may have accepted them before its own first heartbeat. If it doesn't hold them, it returns
+    /// their next packets.
     fn end_server_flows(&mut self, reason: Reason, now: Instant, out: &mut Vec<Output>) {
         let ran_until = self.ran_until;
         let keep = |tracked: &AgentFlow| !tracked.confirmed && tracked.accepted_after(ran_until);
@@ -212,7 +216,7 @@
         ended.sort_by_key(|(flow, _)| flow.source);
         for (flow, tracked) in ended
             .into_iter()
-            .filter(|(_, tracked)| tracked.accepts_requests())
+            .filter(|(_, tracked)| tracked.accepts_requests() && tracked.recently_used(now))
         {
             let ended = EndedFlow {
                 flow,
@@ -225,8 +229,7 @@
     }
 
     /// Confirms the open flows that were accepted while the process of `member` certainly ran, and
-    /// reports them. This must precede the announcement of a new server, on which balancers reset
-    /// the flows of the previous one.
+    /// reports them.
     fn confirm_flows(&mut self, member: &Member, out: &mut Vec<Output>) {
         let ran_until = self.ran_until;
         let unconfirmed = |tracked: &AgentFlow| {
--- a/src/steering/agent_flow.rs
+++ b/src/steering/agent_flow.rs
@@ -9,6 +9,11 @@
 /// given up, and the answer or the end of the flow may have been lost.
 const ABANDONED_AFTER: Duration = Duration::from_secs(2);
 
+/// A client that awaits something on a flow retransmits at least every 1.6 s, so it is heard within
+/// this time even if a retransmission is lost. After a longer silence it may have ended the flow with
+/// a packet that was lost, and opened another one from the port.
+const PORT_REUSE_MIN: Duration = Duration::from_millis(3500);
+
 /// A flow whose packets the agent has delivered to its server or got from it.
 #[derive(Debug)]
 pub struct AgentFlow {
@@ -45,6 +50,8 @@
     pub first_packet_at: Instant,
     /// When the last packet of the flow arrived.
     pub last_packet_at: Instant,
+    /// When the client's last packet arrived; the start of the entry if none has.
+    pub client_packet_at: Instant,
 }
 
 impl AgentFlow {
@@ -84,6 +91,12 @@
         self.open && !self.finished
     }
 
+    /// Whether the client has used the flow so recently that its port can't be that of another flow
+    /// yet.
+    pub fn recently_used(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.client_packet_at) < PORT_REUSE_MIN
+    }
+
     /// Whether a server accepted the flow after `time`, or at any time if there is none.
     pub fn accepted_after(&self, time: Option<Instant>) -> bool {
         self.answered_at.is_some_and(|at| Some(at) > time)
@@ -106,6 +119,7 @@
             lookup_pending: false,
             first_packet_at: now,
             last_packet_at: now,
+            client_packet_at: now,
         }
     }
 }
--- a/tests/steering/used_ports.rs
+++ b/tests/steering/used_ports.rs
@@ -314,3 +314,21 @@
         }
     }
 }
+
+// Guards against an agent that resets a flow of another server when its own server ends: the finish
+// of an earlier flow on the port was lost, so the entry is still open.
+#[test]
+fn unused_flow_not_reset() {
+    let start = Instant::now();
+    for (idle_s, expected) in [(1, 1), (3, 1), (5, 0)] {
+        let mut agent = agent_with_open_flow(start);
+        let now = start + Duration::from_secs(idle_s);
+        agent.heartbeat(heartbeat("a", 1, 2, State::Ready), now, &mut Vec::new());
+        // A retransmission of the server shows nothing about the client.
+        let sent = segment(flow(1), Kind::Data, 5);
+        agent.server_packet(sent, vec![1], now, &mut Vec::new());
+        let mut out = Vec::new();
+        agent.server_left("a", Some(1), now, &mut out);
+        assert_eq!(agent_resets(&out), expected, "idle for {idle_s} s");
+    }
+}
