--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -14,7 +14,7 @@
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Message, Owner};
 use crate::steering::response_stats::ResponseMeter;
-use crate::steering::roster::{Member, Process, State};
+use crate::steering::roster::{reachable, Member, Process, State};
 use crate::steering::segment::{Kind, Segment};
 use crate::steering::snapshot::Snapshot;
 
@@ -207,9 +207,9 @@
         self.heartbeat_interval = interval;
     }
 
-    /// Adds a balancer to announce to, or renews it.
+    /// Adds a balancer to announce to, or renews it. An address that no datagram can reach is ignored.
     pub fn add_balancer(&mut self, balancer: SocketAddr, now: Instant) {
-        if self.balancers.insert(balancer, now).is_none() {
+        if reachable(&balancer) && self.balancers.insert(balancer, now).is_none() {
             self.announce_due = now;
         }
     }
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -9,7 +9,9 @@
 use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
-use crate::steering::roster::{Entry, Member, Process, State, OVERDUE_AFTER, SUSPECT_AFTER};
+use crate::steering::roster::{
+    reachable, Entry, InvalidField, Member, Process, State, OVERDUE_AFTER, SUSPECT_AFTER,
+};
 
 use super::evidence::Change;
 use super::{log_event, Balancer, Output};
@@ -42,9 +44,12 @@
     ) {
         self.directory_read = true;
         for member in members {
-            self.merge_member(member, false, now, out);
+            match member.validate() {
+                Ok(()) => self.merge_member(member, false, now, out),
+                Err(field) => out.push(ignored_member(&member, field)),
+            }
         }
-        for peer in balancers {
+        for peer in balancers.into_iter().filter(reachable) {
             self.add_peer(peer, now);
         }
         self.send_balancers_to_agents(out);
@@ -80,6 +85,10 @@
         now: Instant,
         out: &mut Vec<Output>,
     ) {
+        if let Err(field) = announce.member.validate() {
+            out.push(ignored_member(&announce.member, field));
+            return;
+        }
         let agent = announce.member.agent;
         let held = self.roster.get(&agent).map(|e| e.member.incarnation);
         if let Some(held) = held.filter(|held| *held > announce.member.incarnation) {
@@ -184,12 +193,12 @@
         }
         let known_peers: HashSet<SocketAddr> = self.peers.keys().copied().collect();
         for peer in digest.balancers {
-            if !known_peers.contains(&peer) {
+            if !known_peers.contains(&peer) && reachable(&peer) {
                 self.add_peer(peer, now);
             }
         }
         // An agent that only the peer knows announces itself once it has this balancer's address.
-        for agent in digest.agents {
+        for agent in digest.agents.into_iter().filter(reachable) {
             if self.roster.get(&agent).is_none() || self.roster.left(&agent, now) {
                 self.named_agents.insert(agent, now);
                 let balancers = self.balancers();
@@ -263,3 +272,10 @@
         balancers
     }
 }
+
+fn ignored_member(member: &Member, field: InvalidField) -> Output {
+    log_event(
+        Topic::MemberIgnored,
+        format!("agent={} reason={field}_out_of_range", member.agent),
+    )
+}
--- a/src/steering/log_event.rs
+++ b/src/steering/log_event.rs
@@ -57,6 +57,8 @@
     ConfigurationAdopted,
     /// A balancer got a new or changed record of an agent.
     Member,
+    /// A record of an agent was ignored because a field is out of range.
+    MemberIgnored,
     /// A server has become an outlier of its service, or no longer is one.
     Outlier,
     /// The agent's server changed its state or its description.
--- a/src/steering/response_stats.rs
+++ b/src/steering/response_stats.rs
@@ -85,9 +85,9 @@
     let mean = median(all_stats.iter().flatten().map(|stats| stats.mean));
     let failed = median(all_stats.iter().flatten().map(|stats| stats.failed));
     let is_outlier = |stats: &ResponseStats| {
-        stats.failed > failed + FAILED_EXCESS_PERMILLE
-            || stats.mean * OUTLIER_FACTOR < mean
-            || stats.mean > mean * OUTLIER_FACTOR
+        stats.failed > failed.saturating_add(FAILED_EXCESS_PERMILLE)
+            || stats.mean.saturating_mul(OUTLIER_FACTOR) < mean
+            || stats.mean > mean.saturating_mul(OUTLIER_FACTOR)
     };
     let mut ejections_left = ready / EJECTED_ONE_IN;
     for (index, stats) in all_stats.iter().enumerate() {
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -58,7 +58,60 @@
     pub slots: Slots,
 }
 
+/// Latest time that an incarnation or the start of a process may name, in Unix milliseconds: the
+/// end of the year 2199. A record with a later one would outrank all those that follow it.
+pub const UNIX_MILLIS_MAX: u64 = 7_258_118_399_999;
+/// Highest sequence number of a record or a heartbeat. No process gets there by counting.
+pub const SEQUENCE_MAX: u64 = 1 << 53;
+/// Highest number of requests that a server may process concurrently.
+pub const SLOTS_MAX: Slots = Slots(1 << 16);
+
+/// The first field of a record that is out of range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum InvalidField {
+    /// Not the address and port of a single host.
+    Agent,
+    /// Later than [`UNIX_MILLIS_MAX`].
+    Incarnation,
+    /// Above [`SEQUENCE_MAX`].
+    Sequence,
+    /// Later than [`UNIX_MILLIS_MAX`].
+    Started,
+    /// Zero or above [`SLOTS_MAX`].
+    Slots,
+}
+
+/// Whether datagrams can be sent to an address: it names one host and a port.
+pub fn reachable(address: &SocketAddr) -> bool {
+    let ip = address.ip();
+    let several = match ip {
+        IpAddr::V4(ip) => ip.is_broadcast(),
+        IpAddr::V6(_) => false,
+    };
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !several
+}
+
 impl Member {
+    /// Checks that all fields are in range. Another writer's record in the directory may not be.
+    pub fn validate(&self) -> Result<(), InvalidField> {
+        let checks = [
+            (reachable(&self.agent), InvalidField::Agent),
+            (
+                self.incarnation.0 <= UNIX_MILLIS_MAX,
+                InvalidField::Incarnation,
+            ),
+            (self.sequence.0 <= SEQUENCE_MAX, InvalidField::Sequence),
+            (self.started <= UNIX_MILLIS_MAX, InvalidField::Started),
+            (
+                (Slots(1)..=SLOTS_MAX).contains(&self.slots),
+                InvalidField::Slots,
+            ),
+        ];
+        let invalid = checks.into_iter().find(|(valid, _)| !valid);
+        invalid.map_or(Ok(()), |(_, field)| Err(field))
+    }
+
     /// Returns the identity of the server's process.
     pub fn process(&self) -> Process {
         Process(hash_bytes(self.server.as_bytes()) ^ self.started)
@@ -111,10 +164,10 @@
 
 impl Entry {
     /// Requests in progress and expected per slot, in thousandths.
-    fn load(&self) -> u32 {
-        let requests = (self.busy + self.placed_since_announce) * 1000;
-        let expected = self.flows * MILLIREQUESTS_PER_FLOW;
-        (requests + expected) / self.member.slots.0.max(1)
+    fn load(&self) -> u64 {
+        let requests = (u64::from(self.busy) + u64::from(self.placed_since_announce)) * 1000;
+        let expected = u64::from(self.flows) * MILLIREQUESTS_PER_FLOW;
+        (requests + expected) / u64::from(self.member.slots.0.max(1))
     }
 }
 
@@ -133,9 +186,9 @@
 /// better, but would make lookups longer, which try the agents in the order of their rank.
 const LOAD_CHOICES: usize = 3;
 /// Granularity of the load comparison: agents in the same step keep the order of their rank.
-const LOAD_STEP_MILLISLOTS: u32 = 250;
+const LOAD_STEP_MILLISLOTS: u64 = 250;
 /// Average number of requests in progress on an open flow, in thousandths.
-const MILLIREQUESTS_PER_FLOW: u32 = 60;
+const MILLIREQUESTS_PER_FLOW: u64 = 60;
 
 /// Agents that may hold an open flow, in the order of their rank for it. Agents of services that
 /// may serve the flow's address come before the others.
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -5,6 +5,7 @@
 mod evidence;
 mod fixture;
 mod identity;
+mod odd_records;
 mod renewed;
 mod resets;
 mod used_ports;
