Repeat calls to the store after random delays

Cause: all processes were killed while the store was busy, and started again within 20 ms. Their delays between calls were equal, so all 21 asked at 36.04, 36.16, 36.36, 36.8 and 37.6 s, the store came back at 37.7 s, and the next attempts were at 38.42 s. Without a configuration no balancer serves (3,034 opening packets dropped, no_route).

Ruled out: slow fetches from peers; the others had the configuration 20 to 60 ms after the first one. Shorter delays for all, which would load a store in trouble.

Change: steering::backoff, delays between half of the bound and the bound. A store that returns is noticed within 70 ms (mean) by one of 5 processes, and peers get the configuration from it.

--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 mod agent_flow;
+pub mod backoff;
 pub mod balancer;
 mod balancer_flow;
 pub mod log_event;
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -1,5 +1,6 @@
 //! Tests of single decisions of the balancer and the agent. `emulator/tests` runs whole systems.
 
+mod backoff;
 mod completeness;
 mod confirmation;
 mod evidence;
