Refuse new flows of a full service after six agents, and keep a reserve

Cause: an opening packet went along all agents of its service, and its hedges too. While cold servers met what had waited, nearly all were full: 29 agents passed some 87,000 packets in the first second, 40 for each new flow, and a client whose packet had been hedged was never refused, but waited 200 ms for its own copy.

Change: a packet goes along six agents; the flow is refused when all that got it have returned it, also after a hedge. Agents keep one request a slot for flows whose requests run at most once, so that confirmations and orders come before pages.

Tests: overload (few_agents_asked and hedged_and_refused fail before). refused_once keeps its demands and gets one more, that the second return refuses. full_server_refuses demanded a refusal at two requests a slot for a flow at most once; it now demands two for repeatable flows and three for those: the reserve is the change.

A refusal that tells when to come back isn't in the protocol.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -17,6 +17,9 @@
 /// Requests per slot from which on a server gets no new flows: one runs and one is queued, so the
 /// next one would wait for longer than it runs.
 const REQUESTS_PER_SLOT_MAX: u32 = 2;
+/// The same for flows whose requests must not be repeated. While a service is overloaded, the
+/// difference is reserved for them: their clients can't ask again if an attempt fails later on.
+const AT_MOST_ONCE_REQUESTS_PER_SLOT_MAX: u32 = 3;
 
 /// A delivered packet that the server may still return, with its [`Forward`] header.
 #[derive(Debug)]
@@ -57,7 +60,7 @@
             }
             let busy = self.busy(now) >= self.member.slots.0;
             let others = forward.passes < BUSY_PASSES_MAX && !forward.candidates.is_empty();
-            if !tracked && (self.overloaded(&segment, now) || busy && others) {
+            if !tracked && (self.overloaded(&segment, &forward, now) || busy && others) {
                 forward.passes += 1;
                 self.forward_to_next(segment, forward, "busy", out);
                 return;
@@ -106,9 +109,13 @@
 
     /// Whether the server has too many requests to take another flow. A retransmitted opening
     /// packet belongs to a request that is already late, so it is admitted only if a slot is free.
-    fn overloaded(&self, segment: &Segment, now: Instant) -> bool {
+    fn overloaded(&self, segment: &Segment, forward: &Forward, now: Instant) -> bool {
         let copy = segment.acknowledgement > 0;
-        let limit = if copy { 1 } else { REQUESTS_PER_SLOT_MAX };
+        let limit = match forward.at_most_once {
+            _ if copy => 1,
+            true => AT_MOST_ONCE_REQUESTS_PER_SLOT_MAX,
+            false => REQUESTS_PER_SLOT_MAX,
+        };
         self.busy(now) >= limit * self.member.slots.0
     }
 
--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -164,9 +164,8 @@
         });
     }
 
-    /// Handles a packet that no candidate took. Resets a new flow unless another agent may still
-    /// accept it, and an open flow if its lookups have tried every agent. A packet that went only to
-    /// the known agent starts a lookup.
+    /// Handles a packet that no candidate took. Resets an open flow if its lookups have tried every
+    /// agent. A packet that went only to the known agent starts a lookup.
     pub(super) fn receive_exhausted(
         &mut self,
         segment: Segment,
@@ -176,15 +175,7 @@
     ) {
         let flow = segment.flow;
         if segment.opens() {
-            if self
-                .flows
-                .get(&flow)
-                .is_some_and(|tracked| tracked.refusable(now))
-            {
-                let tracked = self.flows.remove(&flow);
-                let evidence = self.refusal_evidence(&segment, tracked.as_ref(), now);
-                self.reset(segment, Reason::NoServerAccepts, &evidence, out);
-            }
+            self.receive_returned_opening(segment, now, out);
             return;
         }
         if !forward.lookup {
@@ -242,7 +233,13 @@
         }
     }
 
-    fn reset(&self, segment: Segment, reason: Reason, evidence: &str, out: &mut Vec<Output>) {
+    pub(super) fn reset(
+        &self,
+        segment: Segment,
+        reason: Reason,
+        evidence: &str,
+        out: &mut Vec<Output>,
+    ) {
         let evidence = format!("agents={} {evidence}", self.roster.len());
         let event = LogEvent::reset(segment.flow, reason, evidence);
         out.push(Output::Log(event));
--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -1,15 +1,22 @@
-//! Placement of new flows, and hedging of placements that aren't confirmed in time.
+//! Placement of new flows, hedging of placements that aren't confirmed in time, and refusals.
+//!
+//! Load pattern: a service is overloaded for some seconds, for example after all hosts have lost
+//! power, when cold servers meet the requests that have waited. An opening packet that went along
+//! all agents of a service would cost each of them a message, so that the agents of a large service
+//! would spend their time on passing packets, and clients would learn too late that there is no room
+//! for them. A packet therefore goes along a few agents. If all of them are full, the flow is refused
+//! at once, and the client's next attempt, on another port, meets other agents.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::packet::Flow;
 use crate::steering::balancer_flow::BalancerFlow;
-use crate::steering::log_event::Topic;
+use crate::steering::log_event::{Reason, Topic};
 use crate::steering::message::Message;
 use crate::steering::segment::Segment;
 
-use super::{log_event, Balancer, Output, CANDIDATES_MAX};
+use super::{log_event, Balancer, Output};
 
 /// Time for an agent to report that its server accepted a flow, before the opening packet is sent
 /// to another agent: several round trips between failure domains.
@@ -17,6 +24,8 @@
 /// Maximum number of additional agents that get an opening packet; after that, the client's own
 /// retransmission is awaited.
 const HEDGES_MAX: u8 = 2;
+/// Number of agents that an opening packet goes along before it is returned.
+const ATTEMPT_AGENTS: usize = 6;
 
 /// An opening packet that no server is known to have accepted yet.
 #[derive(Debug)]
@@ -52,12 +61,8 @@
         // A retransmission goes to an agent that hasn't got the packet yet: the others may be
         // unreachable.
         let untried = |agent: &&SocketAddr| !tracked.tried_agents.contains(agent);
-        let first = candidates
-            .iter()
-            .find(untried)
-            .or(candidates.first())
-            .copied();
-        let Some(first) = first else {
+        let first = candidates.iter().find(untried).or(candidates.first());
+        let Some(first) = first.copied() else {
             out.push(log_event(
                 Topic::Dropped,
                 format!(
@@ -70,15 +75,12 @@
         if tracked.tried_agents.is_empty() && !tracked.accepted {
             tracked.likely_agent = first;
         }
-        if !tracked.tried_agents.contains(&first) {
-            tracked.tried_agents.push(first);
-        }
-        let tried_agents = tracked.tried_agents.clone();
-        let remaining: Vec<_> = candidates
+        let mut remaining: Vec<_> = candidates
             .into_iter()
-            .filter(|agent| !tried_agents.contains(agent))
-            .take(CANDIDATES_MAX)
+            .filter(|agent| *agent != first && !tracked.tried_agents.contains(agent))
             .collect();
+        remaining.truncate(ATTEMPT_AGENTS - 1);
+        tracked.record_attempt(first);
         out.push(log_event(
             Topic::Placed,
             format!(
@@ -119,14 +121,14 @@
             let candidates =
                 self.roster
                     .placement_candidates(&placement.service, &placement.flow, now);
-            let tried_agents = tracked.tried_agents.clone();
-            let mut remaining = candidates
-                .into_iter()
-                .filter(|agent| !tried_agents.contains(agent));
-            let Some(next) = remaining.next() else {
+            let untried = |agent: &SocketAddr| !tracked.tried_agents.contains(agent);
+            let mut remaining: Vec<_> = candidates.into_iter().filter(untried).collect();
+            remaining.truncate(ATTEMPT_AGENTS);
+            if remaining.is_empty() {
                 continue;
-            };
-            tracked.tried_agents.push(next);
+            }
+            let next = remaining.remove(0);
+            tracked.record_attempt(next);
             out.push(log_event(
                 Topic::PlacedAgain,
                 format!(
@@ -137,7 +139,6 @@
                     HEDGE_DELAY.as_millis()
                 ),
             ));
-            let remaining = remaining.take(CANDIDATES_MAX).collect();
             let (service, packet) = (placement.service.clone(), placement.packet.clone());
             let flow = placement.flow;
             placement.hedges += 1;
@@ -148,4 +149,23 @@
             out.push(Output::Send(next, Message::Forward(forward)));
         }
     }
+
+    /// Handles an opening packet that no agent of an attempt took. Resets the flow unless a server
+    /// may have accepted it.
+    pub(super) fn receive_returned_opening(
+        &mut self,
+        segment: Segment,
+        now: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(tracked) = self.flows.get_mut(&segment.flow) else {
+            return;
+        };
+        tracked.unreturned = tracked.unreturned.saturating_sub(1);
+        if tracked.refusable(now) {
+            let tracked = self.flows.remove(&segment.flow);
+            let evidence = self.refusal_evidence(&segment, tracked.as_ref(), now);
+            self.reset(segment, Reason::NoServerAccepts, &evidence, out);
+        }
+    }
 }
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -67,6 +67,9 @@
     pub opened_at: Option<Instant>,
     /// Agents that this balancer sent the opening packet to.
     pub tried_agents: Vec<SocketAddr>,
+    /// Number of times that this balancer sent the opening packet along some agents and they haven't
+    /// returned it.
+    pub unreturned: u32,
     /// When the first packet or report of the flow arrived.
     pub first_packet_at: Instant,
     /// Number of lookups begun since the last report of the owner.
@@ -92,6 +95,7 @@
             acceptances: Vec::new(),
             opened_at: None,
             tried_agents: Vec::new(),
+            unreturned: 0,
             first_packet_at: now,
             lookups: 0,
             lookup_started: None,
@@ -110,15 +114,23 @@
         self.finished = false;
         if self.owner.take().is_some() {
             self.tried_agents.clear();
+            self.unreturned = 0;
         }
     }
 
-    /// Whether no server can have accepted the flow once the agent that got its opening packet
-    /// reports that none took it: no other agent got the packet from here, and other balancers
-    /// have no copy of it.
+    /// Records that the opening packet is sent to an agent, which passes it to its candidates.
+    pub fn record_attempt(&mut self, first: SocketAddr) {
+        self.unreturned += 1;
+        if !self.tried_agents.contains(&first) {
+            self.tried_agents.push(first);
+        }
+    }
+
+    /// Whether no server can have accepted the flow: no agent still has its opening packet from
+    /// here, and other balancers have no copy of it.
     pub fn refusable(&self, now: Instant) -> bool {
         let only_copy = |at| now.saturating_duration_since(at) < FIRST_COPY_AFTER;
-        !self.accepted && self.tried_agents.len() <= 1 && self.opened_at.is_some_and(only_copy)
+        !self.accepted && self.unreturned == 0 && self.opened_at.is_some_and(only_copy)
     }
 
     /// Records a server's acceptance. It is ignored if the owner is known.
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod identity;
 mod odd_records;
+mod overload;
 mod renewed;
 mod resets;
 mod used_ports;
@@ -15,7 +16,7 @@
 use flamingofall::packet::Flow;
 use flamingofall::steering::agent::{self, Agent, HeartbeatOutcome};
 use flamingofall::steering::balancer::{self, Balancer};
-use flamingofall::steering::message::{Announce, Message};
+use flamingofall::steering::message::{Announce, Forward, Message};
 use flamingofall::steering::roster::{Roster, State, LOST_AFTER, SUSPECT_AFTER};
 use flamingofall::steering::routes::{Repeat, RouteTable};
 use flamingofall::steering::segment::Kind;
@@ -75,6 +76,17 @@
     );
     assert_eq!(resets(&out), 0);
 
+    // Both agents that got it have returned it now.
+    balancer.message(
+        agent_addr(2),
+        message.clone(),
+        decode_as(open),
+        now,
+        &mut out,
+    );
+    assert_eq!(resets(&out), 1);
+    out.clear();
+
     let other = segment(flow(2), Kind::Open, 0);
     balancer.packet(other, vec![0], now, &mut out);
     balancer.message(agent_addr(1), message, decode_as(other), now, &mut out);
@@ -328,17 +340,23 @@
 #[test]
 fn full_server_refuses() {
     let now = Instant::now();
-    let mut agent = ready_agent(now);
-    for port in 1..=2 {
-        let open = segment(flow(port), Kind::Open, 0);
-        let out = forward_to_agent(&mut agent, open, forward("portal", Vec::new(), false), now);
-        assert!(delivered(&out).is_some(), "flow {port}");
-        let data = segment(flow(port), Kind::Data, 5);
-        forward_to_agent(&mut agent, data, forward("", Vec::new(), false), now);
+    for (at_most_once, limit) in [(false, 2), (true, 3)] {
+        let mut agent = ready_agent(now);
+        let opening = Forward {
+            at_most_once,
+            ..forward("portal", Vec::new(), false)
+        };
+        for port in 1..=limit {
+            let open = segment(flow(port), Kind::Open, 0);
+            let out = forward_to_agent(&mut agent, open, opening.clone(), now);
+            assert!(delivered(&out).is_some(), "flow {port}");
+            let data = segment(flow(port), Kind::Data, 5);
+            forward_to_agent(&mut agent, data, forward("", Vec::new(), false), now);
+        }
+        let open = segment(flow(limit + 1), Kind::Open, 0);
+        let out = forward_to_agent(&mut agent, open, opening, now);
+        assert_eq!(delivered(&out), None, "at_most_once={at_most_once}");
     }
-    let open = segment(flow(3), Kind::Open, 0);
-    let out = forward_to_agent(&mut agent, open, forward("portal", Vec::new(), false), now);
-    assert_eq!(delivered(&out), None);
 }
 
 // Guards against a delayed heartbeat of an earlier server process at the same agent.
