Await the client's copy where it can be in time

Cause: 1,283 of the 1,755 that weren't served had used up their three attempts within some 100 ms. Their deadline is 3 s and their objective 500 ms, so the client's own copies, after 200 and 600 ms, would have met free servers in time or a little later.

Change: on routes with an objective of 400 ms or more, a flow whose six agents are full isn't refused; the client's copy goes along others. With shorter objectives only a new attempt can be in time, and the refusal stays.

Tests: copy_awaited.

--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -4,8 +4,10 @@
 //! power, when cold servers meet the requests that have waited. An opening packet that went along
 //! all agents of a service would cost each of them a message, so that the agents of a large service
 //! would spend their time on passing packets, and clients would learn too late that there is no room
-//! for them. A packet therefore goes along a few agents. If all of them are full, the flow is refused
-//! at once, and the client's next attempt, on another port, meets other agents.
+//! for them. A packet therefore goes along a few agents. If all of them are full, what comes next
+//! depends on the route's objective: the flow is refused at once if only a new attempt of the client
+//! can be in time. Otherwise the client's own copy of the packet is awaited, which meets other agents
+//! and doesn't use up one of the client's few attempts.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -27,6 +29,10 @@
 /// Number of agents that an opening packet goes along before it is returned.
 const ATTEMPT_AGENTS: usize = 6;
 
+/// Objectives from which on the client's first copy, which it sends after 200 ms, can still be in
+/// time: as much again is left for the request.
+const COPY_AWAITED_FROM: Duration = Duration::from_millis(400);
+
 /// An opening packet that no server is known to have accepted yet.
 #[derive(Debug)]
 pub(super) struct PendingPlacement {
@@ -151,18 +157,20 @@
     }
 
     /// Handles an opening packet that no agent of an attempt took. Resets the flow unless a server
-    /// may have accepted it.
+    /// may have accepted it, or the client's copy can be in time.
     pub(super) fn receive_returned_opening(
         &mut self,
         segment: Segment,
         now: Instant,
         out: &mut Vec<Output>,
     ) {
+        let route = self.routes.get(&segment.flow.destination);
+        let copy_awaited = route.is_some_and(|route| route.objective >= COPY_AWAITED_FROM);
         let Some(tracked) = self.flows.get_mut(&segment.flow) else {
             return;
         };
         tracked.unreturned = tracked.unreturned.saturating_sub(1);
-        if tracked.refusable(now) {
+        if !copy_awaited && tracked.refusable(now) {
             let tracked = self.flows.remove(&segment.flow);
             let evidence = self.refusal_evidence(&segment, tracked.as_ref(), now);
             self.reset(segment, Reason::NoServerAccepts, &evidence, out);
--- a/tests/steering/overload.rs
+++ b/tests/steering/overload.rs
@@ -56,6 +56,31 @@
     }
 }
 
+// Guards against clients that use up their attempts within some milliseconds while a service is
+// full, although their own copies of the packet could be in time.
+#[test]
+fn copy_awaited() {
+    let now = Instant::now();
+    for (objective_ms, expected) in [(200, 1), (399, 1), (400, 0), (1500, 0)] {
+        let mut balancer = balancer(40, now);
+        let mut slow = routes(2, &[("portal", 1)]);
+        slow.routes[0].objective = Duration::from_millis(objective_ms);
+        balancer.configure(slow, "test", &mut Vec::new());
+        let placed = open(&mut balancer, now);
+        let out = give_back(&mut balancer, &placed, now + Duration::from_millis(15));
+        assert_eq!(resets(&out), expected, "{objective_ms} ms");
+        // The copy goes to an agent that hasn't got the packet yet.
+        let mut copy = Vec::new();
+        let later = now + Duration::from_millis(200);
+        let packet = segment(flow(1), Kind::Open, 1);
+        balancer.packet(packet, vec![1], later, &mut copy);
+        assert_eq!(forwards(&copy).len(), 1);
+        if expected == 0 {
+            assert_ne!(forwards(&copy)[0].0, placed.0);
+        }
+    }
+}
+
 // Guards against a client that waits for its own copy because an attempt was hedged before its
 // agents returned it, and against a reset while one of the agents still has the packet.
 #[test]
