--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -1,4 +1,8 @@
 //! Admission of client packets to the server, and forwarding of packets that it returns.
+//!
+//! Load pattern: while a service is overloaded, its servers' queues are full of requests that may be
+//! repeated, which are the most. One place for each slot is kept for flows whose requests run at most
+//! once, and copies of opening packets, whose requests are late already, get free slots only.
 
 use std::net::SocketAddr;
 use std::time::Instant;
