Tell why a configuration is not applied, and the store's era

A configuration that the store had acknowledged was not in force in time after the store had come back from an older copy. The logs could not tell three explanations apart: the balancer never got the change, got it and took it for old, or put an older one in force in between. Balancers dropped a configuration that isn't newer without a line, and no response's era was read.

No decision changes.

--- a/src/id.rs
+++ b/src/id.rs
@@ -160,6 +160,11 @@
     /// Number of an accepted configuration; later ones have higher numbers.
     Generation(u64), "generation"
 );
+number!(
+    /// Number of times that a store has come back from an older copy of its objects. Orders what the
+    /// store says before and after: its revisions are given out again. Zero if the store tells none.
+    Era(u64), "era"
+);
 number!(
     /// Number of a group of a service's flows that share an arbiter, chosen by the hash of the
     /// flow.
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -152,10 +152,12 @@
         self.roster.len()
     }
 
-    /// Applies a configuration if its generation is newer. `source` names its origin in the log.
-    pub fn configure(&mut self, routes: Routes, source: &str, out: &mut Vec<Output>) {
+    /// Applies a configuration if its generation is newer, and returns whether it is. `source` names
+    /// its origin in the log.
+    pub fn configure(&mut self, routes: Routes, source: &str, out: &mut Vec<Output>) -> bool {
         let (generation, version, count) = (routes.generation, routes.version, routes.routes.len());
-        if self.routes.adopt(routes) {
+        let adopted = self.routes.adopt(routes);
+        if adopted {
             out.push(log_event(
                 Topic::ConfigurationAdopted,
                 format!(
@@ -164,7 +166,18 @@
                 ),
             ));
             self.digest_due = self.last_tick;
+        } else {
+            out.push(log_event(
+                Topic::ConfigurationRefused,
+                format!(
+                    "generation={generation} version={version} source={source} \
+                     generation_in_force={} version_in_force={}",
+                    self.routes.generation(),
+                    self.routes.version()
+                ),
+            ));
         }
+        adopted
     }
 
     /// Forwards a client's packet: places a new flow, sends a packet of a known flow to its agent,
--- a/src/steering/log_event.rs
+++ b/src/steering/log_event.rs
@@ -55,6 +55,8 @@
     Dropped,
     /// A newer configuration was applied.
     ConfigurationAdopted,
+    /// A configuration was not applied because it isn't newer than the one in force.
+    ConfigurationRefused,
     /// A balancer got a new or changed record of an agent.
     Member,
     /// A record of an agent was ignored because a field is out of range.
