Reproduce the loss of a confirmed change after the store's return

A confirmed change was not in force in time after the store had come back from an older copy. None of the tests could show that: the soak's store never lost what it had acknowledged.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -32,6 +32,10 @@
     #[argh(switch)]
     renew: bool,
 
+    /// also let the store come back from older copies
+    #[argh(switch)]
+    restore: bool,
+
     /// number of balancers (default 4)
     #[argh(option, default = "Size::default().balancers")]
     balancers: usize,
@@ -77,6 +81,9 @@
         if arguments.renew {
             plan.renew_servers();
         }
+        if arguments.restore {
+            plan.restore_store();
+        }
         plan.delay(Duration::from_secs(arguments.calm));
         let directory = arguments.directory.join(format!("seed-{seed}"));
         let options = Options {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -39,6 +39,9 @@
     Store(store::Mode),
     /// The store discards its history of changes, so that watches have to start again.
     Forget,
+    /// The store fails, and comes back from a copy of this age. The operator writes the latest
+    /// configuration again soon after.
+    RestoreStore(Duration),
     /// Connections from some balancers and agents to the store are faulty.
     Connections(ConnectionFault),
     /// Some packets from clients to balancers are dropped.
@@ -165,6 +168,12 @@
 const REPEATS_MAX: usize = 4;
 /// Number of series that [`Plan::renew_servers`] adds.
 const RENEWAL_SERIES: usize = 2;
+/// Number of series that [`Plan::restore_store`] adds.
+const RESTORE_SERIES: usize = 2;
+/// Upper bound of the age of a copy from which the store comes back, in milliseconds.
+const COPY_AGE_MAX_MS: u64 = 9000;
+/// Longest time for which a store is away before it comes back from a copy.
+const STORE_AWAY_MAX: Duration = Duration::from_secs(2);
 
 impl Plan {
     /// Generates a plan from a seed: several series of faults that may overlap. The same arguments
@@ -196,6 +205,28 @@
         self.arrange();
     }
 
+    /// Adds series of [`Fault::RestoreStore`], and a change of the configuration after each. The
+    /// other faults stay as they are.
+    pub fn restore_store(&mut self) {
+        let mut random = SmallRng::seed_from_u64(self.seed.rotate_left(32));
+        for _ in 0..RESTORE_SERIES {
+            let age = Duration::from_millis(random.random_range(1000..COPY_AGE_MAX_MS));
+            let fault = Fault::RestoreStore(age);
+            let restores = series(fault, self.fault_window, &mut random);
+            for mut restore in restores {
+                restore.duration = restore.duration.min(STORE_AWAY_MAX);
+                self.faults.push(restore);
+                let pause = Duration::from_millis(random.random_range(300..4000));
+                self.faults.push(ScheduledFault {
+                    at: restore.at + restore.duration + pause,
+                    fault: Fault::Configure,
+                    ..restore
+                });
+            }
+        }
+        self.arrange();
+    }
+
     /// Delays all faults.
     pub fn delay(&mut self, calm: Duration) {
         self.fault_window += calm;
--- a/soak/src/run/faults.rs
+++ b/soak/src/run/faults.rs
@@ -20,6 +20,8 @@
     DRAIN_PROPAGATION_LIMIT, DRAIN_TIME, READINESS_CHECK_INTERVAL, REROUTED_ADDRESS, SERVICES,
 };
 
+/// Longest time until the operator writes the configuration again after the store has come back.
+const REWRITE_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Delay of a late notice of a server's end in milliseconds.
 const LATE_NOTICE_MS: std::ops::Range<u64> = 20..2000;
 
@@ -68,7 +70,8 @@
             "version": 10 + 7 * version, "routes": routes, "services": [],
             "limits": {"idle_timeout_ms": 15_000},
         });
-        self.store.put("config", "main", spec);
+        self.store.put("config", "main", spec.clone());
+        self.latest_configuration = spec;
         let acknowledged_at = self.now();
         self.configurations.push(AcknowledgedConfiguration {
             acknowledged_at,
@@ -157,6 +160,11 @@
                 self.store.set_mode(mode);
                 self.schedule(duration, Timer::ClearFault(scheduled.fault, Vec::new()));
             }
+            Fault::RestoreStore(_) => {
+                self.disturbed_until += REWRITE_WAIT_MAX;
+                self.store.set_mode(Mode::Refusing);
+                self.schedule(duration, Timer::ClearFault(scheduled.fault, Vec::new()));
+            }
             Fault::Forget => self.store.discard_history(),
             Fault::Connections(fault) => {
                 for index in &balancers {
@@ -187,6 +195,7 @@
     pub(super) fn clear_fault(&mut self, fault: Fault, hosts: &[usize]) {
         match fault {
             Fault::Store(_) => self.store.set_mode(Mode::Up),
+            Fault::RestoreStore(age) => self.restore_store(age),
             Fault::Connections(_) => {
                 for index in hosts {
                     let balancers = self.balancers.get(*index).map(|host| &host.proxy);
@@ -205,6 +214,22 @@
         }
     }
 
+    /// Brings the store back from the latest copy that is at least `age` old, and has the operator
+    /// write the latest configuration again soon after.
+    fn restore_store(&mut self, age: Duration) {
+        let latest = self.now().saturating_sub(age);
+        // Later copies hold what is lost now.
+        while self.backups.len() > 1 && self.backups.back().is_some_and(|(at, _)| *at > latest) {
+            self.backups.pop_back();
+        }
+        if let Some((_, copy)) = self.backups.back() {
+            self.store.restore(copy);
+        }
+        self.store.set_mode(Mode::Up);
+        let wait = self.random.random_range(Duration::ZERO..REWRITE_WAIT_MAX);
+        self.schedule(wait, Timer::RewriteConfiguration);
+    }
+
     fn renew_server(&mut self, index: usize) {
         let late_notice = self.random.random_bool(0.5);
         let wait = Duration::from_millis(self.random.random_range(LATE_NOTICE_MS));
--- a/soak/src/run/mod.rs
+++ b/soak/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod servers;
 
+use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +17,7 @@
 use futures::StreamExt;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde_json::Value;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
@@ -27,7 +29,7 @@
 use crate::plan::{Fault, Plan};
 use crate::process::{Launch, Process};
 use crate::proxy::Proxy;
-use crate::store::Store;
+use crate::store::{Backup, Store};
 
 /// Time before the first request in which the processes start and discover each other.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
@@ -49,6 +51,9 @@
 const CONFIGURATION_PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
 /// Interval at which processes and servers are checked for due starts and stops.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which the store's objects are copied, and the number of copies kept.
+const BACKUP_INTERVAL: Duration = Duration::from_secs(1);
+const BACKUPS_MAX: usize = 10;
 const READINESS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a client gives up a request.
 const REQUEST_DEADLINE: Duration = Duration::from_secs(2);
@@ -83,6 +88,9 @@
     RequestProcessed(usize, u64, Packet),
     SendHeartbeat(usize, u64),
     CheckReadiness,
+    BackUpStore,
+    /// The operator writes the latest configuration again.
+    RewriteConfiguration,
     InjectFault(usize),
     ClearFault(Fault, Vec<usize>),
 }
@@ -121,6 +129,10 @@
     checker: Checker,
     report: Report,
     configurations: Vec<AcknowledgedConfiguration>,
+    /// Content of the last one of `configurations`.
+    latest_configuration: Value,
+    /// Recent copies of the store's objects with their times, oldest first. There is at least one.
+    backups: VecDeque<(Duration, Backup)>,
     /// Latest end of the faults injected so far, with the stops and drains that they cause.
     disturbed_until: Duration,
     next_request_id: u64,
@@ -178,12 +190,17 @@
             checker: Checker::new(DRAIN_PROPAGATION_LIMIT),
             report: Report::new(),
             configurations: Vec::new(),
+            latest_configuration: Value::Null,
+            backups: VecDeque::new(),
             disturbed_until: Duration::ZERO,
             next_request_id: 0,
             plan,
             options,
         };
         harness.write_configuration();
+        let copy = (harness.now(), harness.store.backup());
+        harness.backups.push_back(copy);
+        harness.schedule(BACKUP_INTERVAL, Timer::BackUpStore);
         for index in 0..harness.plan.size.balancers {
             harness.add_balancer(index).await?;
         }
@@ -375,6 +392,17 @@
             }
             Timer::SendHeartbeat(index, started) => self.send_heartbeat(index, started),
             Timer::CheckReadiness => self.check_readiness(),
+            Timer::BackUpStore => {
+                self.backups.push_back((self.now(), self.store.backup()));
+                if self.backups.len() > BACKUPS_MAX {
+                    self.backups.pop_front();
+                }
+                self.schedule(BACKUP_INTERVAL, Timer::BackUpStore);
+            }
+            Timer::RewriteConfiguration => {
+                let latest = self.latest_configuration.clone();
+                self.store.put("config", "main", latest);
+            }
             Timer::InjectFault(index) => {
                 let scheduled = self.plan.faults[index];
                 log::info!("event=fault {scheduled}");
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Header of each response with the number of restores.
+const ERA_HEADER: &str = "Store-Era";
 const OBJECTS_PATH: &str = "/flamingofall/objects/";
 /// Longest time for which a watch waits for events.
 const WATCH_WAIT_MAX: Duration = Duration::from_secs(30);
@@ -43,14 +45,27 @@
     Deaf,
 }
 
+#[derive(Clone)]
 struct Entry {
     revision: u64,
     spec: Value,
 }
 
+/// Objects by kind and name.
+type Kinds = BTreeMap<String, BTreeMap<String, Entry>>;
+
+/// The objects of a store at a moment, and its revision.
+#[derive(Clone, Default)]
+pub struct Backup {
+    kinds: Kinds,
+    revision: u64,
+}
+
 #[derive(Default)]
 struct State {
-    kinds: BTreeMap<String, BTreeMap<String, Entry>>,
+    kinds: Kinds,
+    /// Number of restores.
+    era: u64,
     revision: u64,
     /// Revision, kind and event of each change, oldest first.
     history: Vec<(u64, String, Value)>,
@@ -116,6 +131,36 @@
         self.revision_changes.send_replace(state.revision);
     }
 
+    /// Copies all objects.
+    pub fn backup(&self) -> Backup {
+        let state = self.lock();
+        Backup {
+            kinds: state.kinds.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Returns to a backup, as a store does that was lost. What was written since is gone, and its
+    /// revisions are given out again. The era rises. Watches from later revisions fail with status
+    /// 410.
+    pub fn restore(&self, backup: &Backup) {
+        let mut state = self.lock();
+        state.kinds = backup.kinds.clone();
+        state.revision = backup.revision;
+        state
+            .history
+            .retain(|(revision, ..)| *revision <= backup.revision);
+        state.discarded_revision = state.discarded_revision.min(backup.revision);
+        state.era += 1;
+        self.revision_changes.send_replace(state.revision);
+    }
+
+    /// Content of an object, whatever the mode.
+    pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.lock();
+        state.entry(kind, name).map(|entry| entry.spec.clone())
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state
             .lock()
@@ -131,8 +176,8 @@
         match mode {
             Mode::Silent => std::future::pending::<()>().await,
             Mode::Slow => tokio::time::sleep(SLOW_CALL_DELAY).await,
-            Mode::Refusing => return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
-            Mode::Busy => return json_response(StatusCode::TOO_MANY_REQUESTS, &Value::Null),
+            Mode::Refusing => return self.respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+            Mode::Busy => return self.respond(StatusCode::TOO_MANY_REQUESTS, &Value::Null),
             Mode::Up | Mode::Deaf => {}
         }
         let method = request.method().clone();
@@ -166,7 +211,16 @@
         if mode == Mode::Deaf {
             std::future::pending::<()>().await;
         }
-        json_response(status, &value)
+        self.respond(status, &value)
+    }
+
+    fn respond(&self, status: StatusCode, value: &Value) -> Result<Response<Full<Bytes>>> {
+        let body = Full::new(Bytes::from(value.to_string()));
+        let era = self.lock().era;
+        Ok(Response::builder()
+            .status(status)
+            .header(ERA_HEADER, era)
+            .body(body)?)
     }
 
     async fn watch(&self, kind: &str, since_revision: u64, wait: Duration) -> (StatusCode, Value) {
@@ -175,7 +229,8 @@
         loop {
             {
                 let state = self.lock();
-                if since_revision < state.discarded_revision {
+                let unknown = since_revision > state.revision;
+                if unknown || since_revision < state.discarded_revision {
                     return (StatusCode::GONE, Value::Null);
                 }
                 let events: Vec<_> = state
@@ -288,8 +343,3 @@
 fn object_json(name: &str, entry: &Entry) -> Value {
     json!({"meta": {"name": name, "revision": entry.revision}, "spec": entry.spec})
 }
-
-fn json_response(status: StatusCode, value: &Value) -> Result<Response<Full<Bytes>>> {
-    let body = Full::new(Bytes::from(value.to_string()));
-    Ok(Response::builder().status(status).body(body)?)
-}
