Order configurations by the operator's version

A confirmed change was not in force after the store had come back from a copy some seconds old: new flows went on to services of the configuration before, until the process restarted or the store's counter passed its old value.

Balancers took the revision of the operator's object for the order of configurations. An older copy under a revision above all before would have been put in force likewise.

The operator's version, which only rises, is now the generation, at the store, in digests and in what peers fetch. A configuration from the store with the version in force and other routes replaces them, so that all balancers agree with the store if an operator changes a configuration in place; one from a peer doesn't. A version above 2^53 is refused, since no later one would ever be newer. Peers fetch the version under the key that earlier sources wrote it to.

--- a/emulator/src/simulation/balancers.rs
+++ b/emulator/src/simulation/balancers.rs
@@ -6,6 +6,7 @@
 use flamingofall::packet::Flow;
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::Message;
+use flamingofall::steering::routes::Source;
 
 use crate::check::Violation;
 use crate::packet::{decode_segment, Action, Packet};
@@ -55,7 +56,7 @@
         let routes = directory.routes.clone();
         let mut out = Vec::new();
         if let Some(state_machine) = &mut self.balancers[index].state_machine {
-            state_machine.configure(routes, "directory", &mut out);
+            state_machine.configure(routes, Source::Store, &mut out);
             state_machine.merge_directory(members, balancers, now, &mut out);
         }
         self.apply_balancer_outputs(index, out);
@@ -116,7 +117,7 @@
         let mut out = Vec::new();
         if let (true, Some(state_machine)) = (is_balancer, &mut self.balancers[index].state_machine)
         {
-            state_machine.configure(routes, "peer", &mut out);
+            state_machine.configure(routes, Source::Peer, &mut out);
         }
     }
 
--- a/emulator/src/simulation/mod.rs
+++ b/emulator/src/simulation/mod.rs
@@ -426,7 +426,6 @@
         }
         self.directory.routes = Routes {
             generation: Generation(generation),
-            version: generation,
             routes,
             idle_timeout: Duration::from_secs(15),
         };
--- a/emulator/tests/schedules.rs
+++ b/emulator/tests/schedules.rs
@@ -13,7 +13,7 @@
 use flamingofall::steering::agent::{self, Agent};
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::Message;
-use flamingofall::steering::routes::{Repeat, Route, Routes, Target};
+use flamingofall::steering::routes::{Repeat, Route, Routes, Source, Target};
 use flamingofall_emulator::packet::{decode_segment, Action, Packet};
 use flamingofall_emulator::server::{Effect, Server};
 
@@ -109,7 +109,6 @@
         let now = Instant::now();
         let routes = Routes {
             generation: Generation(1),
-            version: 1,
             routes: vec![Route {
                 name: "route".into(),
                 address: flow().destination,
@@ -146,7 +145,7 @@
             violation: None,
         };
         for balancer in &mut cluster.balancers {
-            balancer.configure(routes.clone(), "test", &mut Vec::new());
+            balancer.configure(routes.clone(), Source::Store, &mut Vec::new());
         }
         for index in 0..2 {
             let name = format!("server-{index}");
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -205,7 +205,7 @@
                 out.push(Output::Send(agent, Message::Balancers(balancers)));
             }
         }
-        if digest.generation > self.routes.generation() {
+        if digest.generation > self.generation() {
             out.push(Output::Fetch(digest.source));
         }
     }
@@ -230,7 +230,7 @@
             balancers.retain(|balancer| *balancer != self.address);
         }
         Digest {
-            generation: self.routes.generation(),
+            generation: self.generation(),
             balancers,
             agents,
             source: self.address,
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -19,7 +19,7 @@
 use crate::steering::log_event::{LogEvent, Topic};
 use crate::steering::message::{Forward, Message};
 use crate::steering::roster::Roster;
-use crate::steering::routes::{Repeat, RouteTable, Routes};
+use crate::steering::routes::{Repeat, RouteTable, Routes, Source};
 use crate::steering::segment::Segment;
 
 use placement::PendingPlacement;
@@ -134,12 +134,12 @@
 
     /// Whether the balancer has a configuration, which it needs to place flows.
     pub fn configured(&self) -> bool {
-        self.routes.generation() > Generation(0)
+        self.routes.generation().is_some()
     }
 
     /// Generation of the configuration in force; zero before the first one.
     pub fn generation(&self) -> Generation {
-        self.routes.generation()
+        self.routes.generation().unwrap_or_default()
     }
 
     /// Number of tracked flows.
@@ -152,28 +152,22 @@
         self.roster.len()
     }
 
-    /// Applies a configuration if its generation is newer, and returns whether it is. `source` names
-    /// its origin in the log.
-    pub fn configure(&mut self, routes: Routes, source: &str, out: &mut Vec<Output>) -> bool {
-        let (generation, version, count) = (routes.generation, routes.version, routes.routes.len());
-        let adopted = self.routes.adopt(routes);
+    /// Applies a configuration if it is newer than the one in force, and returns whether it is.
+    pub fn configure(&mut self, routes: Routes, source: Source, out: &mut Vec<Output>) -> bool {
+        let (generation, count) = (routes.generation, routes.routes.len());
+        let adopted = self.routes.adopt(routes, source);
         if adopted {
             out.push(log_event(
                 Topic::ConfigurationAdopted,
-                format!(
-                    "generation={generation} version={version} \
-                 routes={count} source={source}"
-                ),
+                format!("generation={generation} routes={count} source={source}"),
             ));
             self.digest_due = self.last_tick;
         } else {
             out.push(log_event(
                 Topic::ConfigurationRefused,
                 format!(
-                    "generation={generation} version={version} source={source} \
-                     generation_in_force={} version_in_force={}",
-                    self.routes.generation(),
-                    self.routes.version()
+                    "generation={generation} source={source} generation_in_force={}",
+                    self.generation()
                 ),
             ));
         }
@@ -311,7 +305,7 @@
                 format!(
                     "flow={} reason=no_route generation={}",
                     segment.flow,
-                    self.routes.generation()
+                    self.generation()
                 ),
             ));
         }
--- a/src/steering/balancer/placement.rs
+++ b/src/steering/balancer/placement.rs
@@ -92,7 +92,7 @@
             format!(
                 "flow={flow} service={service} agent={first} copy={} generation={}",
                 segment.acknowledgement,
-                self.routes.generation()
+                self.generation()
             ),
         ));
         self.roster.record_placement(&first);
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -66,13 +66,27 @@
     }
 }
 
+/// Highest generation that a configuration may have. A later one would never be applied.
+pub const GENERATION_MAX: Generation = Generation(1 << 53);
+
+/// Where a process got a configuration from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Source {
+    /// The store, which the operator writes.
+    Store,
+    /// Another balancer.
+    Peer,
+}
+
 /// An accepted configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Routes {
-    /// Increases with each accepted configuration; zero means none.
+    /// The operator's version number, which increases with each configuration. The revision of the
+    /// object in the store is no order: a store that comes back from a copy gives revisions out
+    /// again.
+    #[serde(rename = "version")]
     pub generation: Generation,
-    /// The operator's version number, for logs.
-    pub version: u64,
     /// Routes of the configuration.
     pub routes: Vec<Route>,
     /// Time after which a flow without packets may be removed.
@@ -85,18 +99,23 @@
     routes: HashMap<SocketAddr, Route>,
     /// Services of earlier configurations, which open flows of an address may still belong to.
     former: HashMap<SocketAddr, Vec<String>>,
-    generation: Generation,
-    version: u64,
+    /// None before the first configuration.
+    generation: Option<Generation>,
 }
 
 impl RouteTable {
-    /// Applies a configuration. Returns false and changes nothing if its generation isn't newer.
-    pub fn adopt(&mut self, routes: Routes) -> bool {
-        if routes.generation <= self.generation {
+    /// Applies a configuration. Returns false and changes nothing unless its generation is newer, or
+    /// the store has other routes under the generation in force.
+    pub fn adopt(&mut self, routes: Routes, source: Source) -> bool {
+        let order = Some(routes.generation).cmp(&self.generation);
+        let replaces = match source {
+            Source::Store => order.is_eq() && !self.holds(&routes.routes),
+            Source::Peer => false,
+        };
+        if routes.generation > GENERATION_MAX || !(order.is_gt() || replaces) {
             return false;
         }
-        self.generation = routes.generation;
-        self.version = routes.version;
+        self.generation = Some(routes.generation);
         for route in self.routes.values() {
             let former = self.former.entry(route.address).or_default();
             for target in &route.targets {
@@ -111,6 +130,12 @@
         true
     }
 
+    /// Whether exactly these routes are in force.
+    fn holds(&self, routes: &[Route]) -> bool {
+        let held = |route: &Route| self.routes.get(&route.address) == Some(route);
+        routes.len() == self.routes.len() && routes.iter().all(held)
+    }
+
     /// The route of an address.
     pub fn get(&self, address: &SocketAddr) -> Option<&Route> {
         self.routes.get(address)
@@ -127,16 +152,11 @@
                 .is_some_and(|former| former.iter().any(|name| name == service))
     }
 
-    /// Generation of the configuration in force; zero before the first one.
-    pub fn generation(&self) -> Generation {
+    /// Generation of the configuration in force; none before the first one.
+    pub fn generation(&self) -> Option<Generation> {
         self.generation
     }
 
-    /// The operator's version number of the configuration in force, for logs.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Number of routes in force.
     pub fn len(&self) -> usize {
         self.routes.len()
--- a/tests/steering/fixture.rs
+++ b/tests/steering/fixture.rs
@@ -9,7 +9,7 @@
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::{Forward, Message};
 use flamingofall::steering::roster::{LookupCandidates, Member, State};
-use flamingofall::steering::routes::{Repeat, Route, Routes, Target};
+use flamingofall::steering::routes::{Repeat, Route, Routes, Source, Target};
 use flamingofall::steering::segment::{Kind, Segment};
 
 /// Control address of the balancer under test.
@@ -64,7 +64,6 @@
         .collect();
     Routes {
         generation: Generation(generation),
-        version: generation,
         routes: vec![Route {
             name: "route".into(),
             address: addr("198.18.0.1:443"),
@@ -80,7 +79,7 @@
 pub fn balancer(agents: u8, now: Instant) -> Balancer {
     let mut out = Vec::new();
     let mut balancer = Balancer::new(addr(BALANCER), now);
-    balancer.configure(routes(1, &[("portal", 1)]), "test", &mut out);
+    balancer.configure(routes(1, &[("portal", 1)]), Source::Store, &mut out);
     let members = (1..=agents).map(|i| member(i, "portal", State::Ready));
     balancer.merge_directory(members.collect(), Vec::new(), now, &mut out);
     balancer
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -18,7 +18,7 @@
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::{Announce, Forward, Message};
 use flamingofall::steering::roster::{Roster, State, LOST_AFTER, SUSPECT_AFTER};
-use flamingofall::steering::routes::{Repeat, RouteTable};
+use flamingofall::steering::routes::{Repeat, RouteTable, Source};
 use flamingofall::steering::segment::Kind;
 use flamingofall::steering::snapshot::{SavedFlow, Snapshot};
 use std::time::{Duration, Instant};
@@ -237,18 +237,40 @@
 #[test]
 fn generation_never_falls() {
     let mut table = RouteTable::default();
-    assert!(table.adopt(routes(5, &[("portal", 1)])));
-    assert!(!table.adopt(routes(4, &[("other", 1)])));
-    assert!(!table.adopt(routes(5, &[("other", 1)])));
-    assert_eq!(table.generation(), Generation(5));
+    assert!(table.adopt(routes(5, &[("portal", 1)]), Source::Store));
+    for source in [Source::Store, Source::Peer] {
+        assert!(!table.adopt(routes(4, &[("other", 1)]), source));
+        assert!(!table.adopt(routes(5, &[("portal", 1)]), source));
+    }
+    assert!(!table.adopt(routes(5, &[("other", 1)]), Source::Peer));
+    assert_eq!(table.generation(), Some(Generation(5)));
+}
+
+// Guards against balancers that serve different routes for good because the operator has changed a
+// configuration under its version.
+#[test]
+fn stored_routes_prevail() {
+    let mut table = RouteTable::default();
+    let address = addr("198.18.0.1:443");
+    table.adopt(routes(5, &[("portal", 1)]), Source::Peer);
+    assert!(table.adopt(routes(5, &[("other", 1)]), Source::Store));
+    assert_eq!(table.get(&address).unwrap().targets[0].service, "other");
+}
+
+// Guards against a configuration with a number out of range, after which no other is ever newer.
+#[test]
+fn huge_generation_refused() {
+    let mut table = RouteTable::default();
+    assert!(!table.adopt(routes(u64::MAX, &[("portal", 1)]), Source::Store));
+    assert!(table.adopt(routes(5, &[("portal", 1)]), Source::Store));
 }
 
 // Guards against lookups that omit the former service of an address.
 #[test]
 fn former_service_allowed() {
     let mut table = RouteTable::default();
-    table.adopt(routes(1, &[("portal", 1)]));
-    table.adopt(routes(2, &[("other", 1)]));
+    table.adopt(routes(1, &[("portal", 1)]), Source::Store);
+    table.adopt(routes(2, &[("other", 1)]), Source::Store);
     let address = addr("198.18.0.1:443");
     assert!(table.may_serve(&address, "portal"));
     assert!(table.may_serve(&address, "other"));
@@ -439,7 +461,7 @@
     let mut out = Vec::new();
     let mut changed = routes(2, &[("portal", 1)]);
     changed.routes[0].repeat = repeat;
-    balancer.configure(changed, "test", &mut out);
+    balancer.configure(changed, Source::Store, &mut out);
     for kind in [Kind::Open, Kind::Data] {
         out.clear();
         balancer.packet(segment(flow(1), kind, 5), vec![0], now, &mut out);
@@ -454,7 +476,7 @@
     let now = Instant::now();
     let mut balancer = Balancer::new(addr("10.0.0.1:7720"), now);
     let mut out = Vec::new();
-    balancer.configure(routes(1, &[("portal", 1)]), "test", &mut out);
+    balancer.configure(routes(1, &[("portal", 1)]), Source::Store, &mut out);
     let announce = Announce {
         member: member(1, "portal", State::Ready),
         busy: 0,
--- a/tests/steering/overload.rs
+++ b/tests/steering/overload.rs
@@ -5,6 +5,7 @@
 
 use flamingofall::steering::balancer::{self, Balancer};
 use flamingofall::steering::message::{Forward, Message, Owner};
+use flamingofall::steering::routes::Source;
 use flamingofall::steering::segment::{Kind, Segment};
 
 use super::fixture::*;
@@ -65,7 +66,7 @@
         let mut balancer = balancer(40, now);
         let mut slow = routes(2, &[("portal", 1)]);
         slow.routes[0].objective = Duration::from_millis(objective_ms);
-        balancer.configure(slow, "test", &mut Vec::new());
+        balancer.configure(slow, Source::Store, &mut Vec::new());
         let placed = open(&mut balancer, now);
         let out = give_back(&mut balancer, &placed, now + Duration::from_millis(15));
         assert_eq!(resets(&out), expected, "{objective_ms} ms");
