Write records again when the store has come back from a copy

Agents hardly call the store, so they could not know.

Balancers, which watch the store, tell the era to their peers, and to each agent three times as it announces itself. A reported era makes a process call the store, and only the store's response raises the era that it believes in, so that a false report costs one call. The messages are a new variant, which older processes ignore.

--- a/emulator/src/simulation/agents.rs
+++ b/emulator/src/simulation/agents.rs
@@ -142,7 +142,7 @@
                 }
                 agent::Output::Publish(_) | agent::Output::Save(_) => {}
                 agent::Output::Log(event) => self.log(&from.ip().to_string(), &event),
-                agent::Output::Latency(_) => {}
+                agent::Output::Latency(_) | agent::Output::StoreEra(_) => {}
             }
         }
     }
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::id::{Incarnation, Sequence, Slots};
+use crate::id::{Era, Incarnation, Sequence, Slots};
 use crate::packet::Flow;
 use crate::steering::agent_flow::AgentFlow;
 use crate::steering::log_event::{LogEvent, Reason, Topic};
@@ -64,6 +64,8 @@
     Publish(Member),
     /// Store the open flows in the directory.
     Save(Snapshot),
+    /// Write the record and the snapshot again if the directory is new in this era of the store.
+    StoreEra(Era),
     /// Record the time from a request to the first data of its answer.
     Latency(Duration),
     /// Log and count a decision or a state change.
@@ -237,6 +239,7 @@
                     .retain(|_, named| now.saturating_duration_since(*named) < BALANCER_EXPIRY);
             }
             Message::Superseded(held) => self.supersede(held, now, out),
+            Message::StoreEra(era) => out.push(Output::StoreEra(era)),
             Message::Owner(_)
             | Message::Exhausted(_)
             | Message::Announce(_)
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -6,6 +6,7 @@
 
 use rand::seq::SliceRandom;
 
+use crate::id::Era;
 use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Announce, Digest, Message};
@@ -16,6 +17,8 @@
 use super::evidence::Change;
 use super::{log_event, Balancer, Output};
 
+/// Number of times that a balancer tells an agent of a new era of the store.
+const ERA_NOTICES: u32 = 3;
 /// Number of random peers that receive each digest.
 const DIGEST_FANOUT: usize = 3;
 /// A balancer that hears none of its agents for this long is cut off from them: each has missed two
@@ -96,12 +99,35 @@
         }
         self.merge_member(announce.member.clone(), true, now, out);
         self.roster.record_load(&announce);
+        self.notify_of_era(agent, out);
         if announce.balancers as usize != self.peers.len() + 1 {
             let balancers = self.balancers();
             out.push(Output::Send(agent, Message::Balancers(balancers)));
         }
     }
 
+    /// Sets the era in which the store has answered this process. Tells a later one to the peers at
+    /// once, and to agents when they announce themselves.
+    pub fn store_era(&mut self, era: Era, out: &mut Vec<Output>) {
+        if era <= self.store_era {
+            return;
+        }
+        self.store_era = era;
+        self.era_notices.clear();
+        for peer in self.peers.keys() {
+            out.push(Output::Send(*peer, Message::StoreEra(era)));
+        }
+    }
+
+    /// Tells an agent of the store's era, several times, as datagrams may be lost.
+    fn notify_of_era(&mut self, agent: SocketAddr, out: &mut Vec<Output>) {
+        let notices = self.era_notices.entry(agent).or_default();
+        if self.store_era > Era::default() && *notices < ERA_NOTICES {
+            *notices += 1;
+            out.push(Output::Send(agent, Message::StoreEra(self.store_era)));
+        }
+    }
+
     fn merge_member(&mut self, member: Member, direct: bool, now: Instant, out: &mut Vec<Output>) {
         let agent = member.agent;
         let entry = self.roster.get(&agent);
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -13,7 +13,7 @@
 use rand::SeedableRng;
 
 use crate::hash::hash_bytes;
-use crate::id::Generation;
+use crate::id::{Era, Generation};
 use crate::packet::Flow;
 use crate::steering::balancer_flow::{BalancerFlow, Owner};
 use crate::steering::log_event::{LogEvent, Topic};
@@ -61,6 +61,8 @@
     },
     /// Fetch a newer configuration from a peer.
     Fetch(SocketAddr),
+    /// A peer has seen the store in this era.
+    StoreEra(Era),
     /// Record the time from a flow's first packet to the first report of its acceptance.
     Latency(Duration),
     /// Log and count a decision or a state change.
@@ -97,6 +99,10 @@
     expire_due: Instant,
     /// Whether the list of agents in the directory has been read.
     directory_read: bool,
+    /// Latest era of the store that this process has seen; zero before the first one.
+    store_era: Era,
+    /// Number of times that each agent was told of `store_era`.
+    era_notices: HashMap<SocketAddr, u32>,
     random: SmallRng,
 }
 
@@ -121,6 +127,8 @@
             outlier_check_due: now,
             expire_due: now,
             directory_read: false,
+            store_era: Era::default(),
+            era_notices: HashMap::new(),
             random: SmallRng::seed_from_u64(hash_bytes(address.to_string().as_bytes())),
         }
     }
@@ -225,6 +233,7 @@
                     self.receive_exhausted(segment, &forward, now, out);
                 }
             }
+            Message::StoreEra(era) => out.push(Output::StoreEra(era)),
             Message::Forward(_) | Message::Balancers(_) | Message::Superseded(_) => {
                 out.push(log_event(
                     Topic::MessageIgnored,
@@ -267,6 +276,8 @@
         if now >= self.expire_due {
             self.expire_due = now + EXPIRE_INTERVAL;
             self.roster.expire(now);
+            self.era_notices
+                .retain(|agent, _| self.roster.get(agent).is_some());
             self.remind_silent_agents(now, out);
             self.flows.retain(|_, tracked| {
                 now.saturating_duration_since(tracked.last_packet_at) < FLOW_EXPIRY
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Generation, Incarnation};
+use crate::id::{Era, Generation, Incarnation};
 
 use super::response_stats::ResponseStats;
 use super::roster::{Member, Process};
@@ -28,6 +28,9 @@
     /// Balancer to agent: an announcement was ignored, as the balancer holds a record of this later
     /// incarnation.
     Superseded(Incarnation),
+    /// Balancer to agent or balancer: the store is in this era. Agents call the store too rarely to
+    /// learn that it has come back from a copy, without their records.
+    StoreEra(Era),
 }
 
 /// A client's packet on its way to a server.
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod renewed;
 mod resets;
+mod store_era;
 mod used_ports;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
