Write domain objects again after the store was restored

A watch that failed, or ended early twice within a minute, went on from a version that may denote other changes.

A watch that fails or ends early makes the version doubtful, and the collection is listed again, at most once a minute. A listed version that isn't the one written last has the object read and merged again, and then written. Configurations were not affected: their generation is in the head, and the head is read each second.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -37,7 +37,7 @@
 
 const BACKOFF_FIRST: Duration = Duration::from_millis(250);
 const BACKOFF_MAX: Duration = Duration::from_secs(4);
-/// Minimum time between two lists that are caused by watches that ended early. A list of the domain
+/// Minimum time between two lists that are caused by watches that ended early or failed. A list of the domain
 /// objects is about 10 MB at the target size.
 const RELIST_INTERVAL: Duration = Duration::from_secs(60);
 /// Time by which a watch may end early or late before it counts as ended early, or as lost.
@@ -109,6 +109,19 @@
     failures: u32,
     started: Instant,
     listed: Option<Instant>,
+    // Whether the store may have been restored from an older copy since the last list.
+    doubtful: bool,
+}
+
+impl CollectionWatch {
+    /// Forgets the version to watch from if it is doubtful and the last list was long ago. Versions
+    /// that are assigned after a restore denote other changes.
+    fn forget_doubtful_version(&mut self, now: Instant) {
+        let listed = self.listed.map(|listed| now.duration_since(listed));
+        if self.doubtful && listed.is_none_or(|listed| listed >= RELIST_INTERVAL) {
+            self.since = None;
+        }
+    }
 }
 
 /// A balancer's store client: reads and writes domain objects, and follows the head.
@@ -137,6 +150,7 @@
             failures: 0,
             started: now,
             listed: None,
+            doubtful: false,
         };
         Self {
             random: SmallRng::seed_from_u64(seed),
@@ -413,6 +427,7 @@
             if watch.in_flight || now < watch.next {
                 continue;
             }
+            watch.forget_doubtful_version(now);
             watch.in_flight = true;
             watch.started = now;
             watch.next = now + RETRY_INTERVAL;
@@ -444,6 +459,7 @@
         };
         if collection == Collection::Domains {
             self.records_loaded = true;
+            self.compare_objects(&objects);
         }
         if collection == Collection::Heads && objects.is_empty() {
             self.head_loaded = true;
@@ -457,6 +473,26 @@
             watch.next = now;
             watch.since = Some(version);
             watch.listed = Some(now);
+            watch.doubtful = false;
+        }
+    }
+
+    /// Has each own object read again whose version in a list isn't the one that was written last:
+    /// the store may have been restored from an older copy.
+    fn compare_objects(&mut self, objects: &[Object]) {
+        let idle = self.domain_objects.iter_mut();
+        for (domain, own) in idle.filter(|(_, own)| !own.in_flight) {
+            let key = Key::Domain(domain.clone());
+            let listed = objects.iter().find(|object| object.key == key);
+            let kept = match &own.known {
+                ObjectState::Stored(version, _) => listed.map(|o| &o.version) == Some(version),
+                ObjectState::Absent => listed.is_none(),
+                ObjectState::Unknown => true,
+            };
+            if !kept {
+                own.known = ObjectState::Unknown;
+                own.synced_version = None;
+            }
         }
     }
 
@@ -483,14 +519,13 @@
             Ok(Outcome::Ended) => {
                 watch.in_flight = false;
                 // A store that ends watches early may have been restored from an older copy.
-                // Versions assigned after the restore then denote other changes, so list again.
                 let early = now.duration_since(watch.started) < WATCH_TIMEOUT - WATCH_GRACE;
-                let listed = watch.listed.map(|listed| now.duration_since(listed));
-                if early && listed.is_none_or(|listed| listed >= RELIST_INTERVAL) {
-                    watch.since = None;
-                }
+                watch.doubtful |= early;
             }
-            Err(Error::Unavailable | Error::Throttled | Error::Lost) => {
+            Err(Error::Throttled) => self.schedule_retry(collection, now),
+            // The store may come back from an older copy.
+            Err(Error::Unavailable | Error::Lost) => {
+                watch.doubtful = true;
                 self.schedule_retry(collection, now);
             }
             // The store doesn't know the version, for example after a restore of an older copy.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -186,6 +186,24 @@
     });
 }
 
+/// Guards against records that stay lost until they change, after the store has come back from an
+/// older copy.
+#[test]
+fn restored_records() {
+    check_seeds("registry::restored_records", 4, |seed| {
+        let mut driver = Driver::new(seed, 2, 2, 3);
+        driver.run(Duration::from_secs(8));
+        let old = driver.store.objects.clone();
+        driver.start_process(record(0, 35, 1));
+        driver.start_process(record(1, 35, 1));
+        driver.run(Duration::from_secs(8));
+        expect_complete(&mut driver)?;
+        driver.store.restore(old);
+        driver.run(Duration::from_secs(140));
+        expect_complete(&mut driver)
+    });
+}
+
 /// Guards against a call rate that grows with the number of balancers, and against calls that are
 /// repeated although nothing has changed.
 #[test]
