--- a/emulator/src/directory.rs
+++ b/emulator/src/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use flamingofall::id::Era;
 use flamingofall::steering::roster::Member;
 use flamingofall::steering::routes::Routes;
 use flamingofall::steering::snapshot::Snapshot;
@@ -18,6 +19,8 @@
     pub balancers: Vec<SocketAddr>,
     /// The current configuration.
     pub routes: Routes,
+    /// Number of times that the directory has come back from a copy, plus one.
+    pub era: Era,
     /// Whether calls are answered.
     pub available: bool,
     /// An earlier state that reads return while the directory is stale.
--- a/emulator/src/report.rs
+++ b/emulator/src/report.rs
@@ -27,6 +27,8 @@
     pub messages: u64,
     /// Number of calls to the directory.
     pub calls: u64,
+    /// Number of running agents whose record the directory doesn't have at the end.
+    pub records_missing: usize,
     /// Served and failed requests, by the second of the traffic in which they were started.
     pub per_second: Vec<(u64, u64)>,
     /// Log lines of all balancers and agents, if the run keeps them.
@@ -72,6 +74,7 @@
             violations: Vec::new(),
             messages: 0,
             calls: 0,
+            records_missing: 0,
             per_second: Vec::new(),
             log_lines: Vec::new(),
         }
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -123,6 +123,9 @@
     DirectoryDown,
     /// The directory's lists don't show changes.
     DirectoryStale,
+    /// The directory comes back, `for_s` seconds later, with the records and snapshots that it holds
+    /// now. The operator writes the configuration again at once.
+    RestoreDirectory,
     /// Balancers are suspended; what they receive waits.
     FreezeBalancers,
     /// Agents are suspended; their servers keep running.
@@ -161,6 +164,11 @@
 }
 
 impl EventKind {
+    /// Whether only scenario files name the kind.
+    fn is_explicit(self) -> bool {
+        self == Self::RestoreDirectory
+    }
+
     /// Whether only [`Scenario::with_aimed_events`] draws the kind.
     fn is_aimed(self) -> bool {
         matches!(
@@ -197,7 +205,9 @@
     /// Returns the scenario with random series of events added, which may overlap. The same seed
     /// gives the same events.
     pub fn with_random_events(&self, seed: u64) -> Self {
-        let kinds: Vec<_> = EventKind::iter().filter(|kind| !kind.is_aimed()).collect();
+        let kinds: Vec<_> = EventKind::iter()
+            .filter(|kind| !kind.is_aimed() && !kind.is_explicit())
+            .collect();
         self.with_events_of(&kinds, seed)
     }
 
--- a/emulator/src/simulation/agents.rs
+++ b/emulator/src/simulation/agents.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flamingofall::id::Incarnation;
+use flamingofall::id::{Era, Incarnation};
 use flamingofall::steering::agent::{self, Agent};
 use flamingofall::steering::message::Message;
 use rand::Rng;
@@ -138,8 +138,10 @@
                 }
                 agent::Output::Save(snapshot) if directory_reachable => {
                     self.report.calls += 1;
+                    self.hosts[index].snapshot = Some(snapshot.clone());
                     self.directory.snapshots.insert(from, snapshot);
                 }
+                agent::Output::StoreEra(era) if directory_reachable => self.write_again(index, era),
                 agent::Output::Publish(_) | agent::Output::Save(_) => {}
                 agent::Output::Log(event) => self.log(&from.ip().to_string(), &event),
                 agent::Output::Latency(_) | agent::Output::StoreEra(_) => {}
@@ -147,6 +149,24 @@
         }
     }
 
+    /// Writes the record and the snapshot of a host again if the directory is in another era than
+    /// when they were written.
+    fn write_again(&mut self, index: usize, era: Era) {
+        let host = &mut self.hosts[index];
+        let Some(state_machine) = &host.state_machine else {
+            return;
+        };
+        if std::mem::replace(&mut host.written_era, era) == era {
+            return;
+        }
+        self.report.calls += 2;
+        let member = state_machine.member().clone();
+        self.directory.members.insert(host.address, member);
+        if let Some(snapshot) = host.snapshot.clone() {
+            self.directory.snapshots.insert(host.address, snapshot);
+        }
+    }
+
     /// Starts a server that sends its first heartbeat after the time given.
     pub(super) fn start_server(&mut self, index: usize, first_heartbeat: Duration) {
         let started = self.hosts[index].clock(self.now).as_millis() as u64;
--- a/emulator/src/simulation/balancers.rs
+++ b/emulator/src/simulation/balancers.rs
@@ -50,6 +50,7 @@
         if !self.directory.balancers.contains(&address) {
             self.directory.balancers.push(address);
         }
+        let era = self.directory.era;
         let directory = self.directory.read_view();
         let members = directory.members.values().cloned().collect();
         let balancers = directory.balancers.clone();
@@ -58,10 +59,35 @@
         if let Some(state_machine) = &mut self.balancers[index].state_machine {
             state_machine.configure(routes, Source::Store, &mut out);
             state_machine.merge_directory(members, balancers, now, &mut out);
+            state_machine.store_era(era, &mut out);
         }
         self.apply_balancer_outputs(index, out);
     }
 
+    /// Registers the balancer again after the directory has come back from a copy. Repeats the call
+    /// until the directory answers.
+    pub(super) fn balancer_learns_era(&mut self, index: usize, starts: u64) {
+        let balancer = &mut self.balancers[index];
+        let Some(state_machine) = balancer.state_machine.as_mut() else {
+            return;
+        };
+        if balancer.starts != starts {
+            return;
+        }
+        self.report.calls += 1;
+        if !self.directory.available || !balancer.faults.can_send(self.now) {
+            let event = Event::BalancerLearnsEra(index, starts);
+            self.schedule_after(DIRECTORY_RETRY_INTERVAL, event);
+            return;
+        }
+        if !self.directory.balancers.contains(&balancer.address) {
+            self.directory.balancers.push(balancer.address);
+        }
+        let mut out = Vec::new();
+        state_machine.store_era(self.directory.era, &mut out);
+        self.apply_balancer_outputs(index, out);
+    }
+
     pub(super) fn tick_balancer(&mut self, index: usize) {
         let now = self.instant();
         let mut out = Vec::new();
--- a/emulator/src/simulation/faults.rs
+++ b/emulator/src/simulation/faults.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use flamingofall::id::Era;
+
+use crate::directory::Directory;
 use crate::scenario::EventKind;
 
 use super::{
@@ -41,6 +44,10 @@
                 self.directory.stale_copy = Some(Box::new(self.directory.clone()));
                 self.schedule_after(duration, Event::DirectoryRestored);
             }
+            EventKind::RestoreDirectory => {
+                let copy = Box::new(self.directory.clone());
+                self.schedule_after(duration, Event::RestoreDirectory(copy));
+            }
             EventKind::ChangeWeights => self.change_weights(),
             EventKind::FreezeBalancers => self.balancers[..balancers]
                 .iter_mut()
@@ -173,6 +180,20 @@
         }
     }
 
+    /// Brings the directory back from a copy. Running balancers learn of it, as they watch the
+    /// configuration.
+    pub(super) fn restore_directory(&mut self, copy: Directory) {
+        self.directory.era = Era(self.directory.era.0 + 1);
+        self.directory.members = copy.members;
+        self.directory.snapshots = copy.snapshots;
+        self.directory.balancers = copy.balancers;
+        for index in 0..self.balancers.len() {
+            let starts = self.balancers[index].starts;
+            let event = Event::BalancerLearnsEra(index, starts);
+            self.schedule_after(DIRECTORY_ROUND_TRIP, event);
+        }
+    }
+
     /// Publishes a configuration with other weights, which all running balancers read.
     pub(super) fn change_weights(&mut self) {
         self.change_configuration();
--- a/emulator/src/simulation/mod.rs
+++ b/emulator/src/simulation/mod.rs
@@ -10,11 +10,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use flamingofall::id::Generation;
+use flamingofall::id::{Era, Generation};
 use flamingofall::steering::agent::Agent;
 use flamingofall::steering::balancer::Balancer;
 use flamingofall::steering::log_event::LogEvent;
 use flamingofall::steering::routes::{Repeat, Route, Routes, Target};
+use flamingofall::steering::snapshot::Snapshot;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -96,6 +97,10 @@
     AgentReadsDirectory(usize, u64),
     /// The directory answers again, with current lists.
     DirectoryRestored,
+    /// The directory comes back from a copy.
+    RestoreDirectory(Box<Directory>),
+    /// A call to the directory, made by the process with this start count, names a new era.
+    BalancerLearnsEra(usize, u64),
 }
 
 /// The direction in which a host is cut off from other hosts and the directory.
@@ -181,6 +186,10 @@
     replaced: bool,
     /// Time by which the host's clock has gone back.
     clock_behind: Duration,
+    /// The last snapshot that the agent saved.
+    snapshot: Option<Snapshot>,
+    /// Era in which the agent last wrote because the directory had come back from a copy.
+    written_era: Era,
 }
 
 impl ServerHost {
@@ -282,9 +291,23 @@
                 self.handle(event);
             }
         }
+        self.report.records_missing = self.missing_records();
         self.report
     }
 
+    /// Number of running agents that the directory doesn't list with the state that they are in.
+    fn missing_records(&self) -> usize {
+        let agents = self
+            .hosts
+            .iter()
+            .filter_map(|host| host.state_machine.as_ref());
+        let missing = |agent: &&Agent| {
+            let member = agent.member();
+            self.directory.members.get(&member.agent) != Some(member)
+        };
+        agents.filter(missing).count()
+    }
+
     /// Adds a log line of a process to the report if log lines are kept.
     fn log(&mut self, node: &str, event: &LogEvent) {
         if self.keep_log {
@@ -310,6 +333,7 @@
             clients: Vec::new(),
             directory: Directory {
                 available: true,
+                era: Era(1),
                 ..Directory::default()
             },
             checker: Checker::new(DRAIN_GRACE),
@@ -459,6 +483,8 @@
             grey_until: None,
             replaced: false,
             clock_behind: Duration::ZERO,
+            snapshot: None,
+            written_era: Era::default(),
         });
         self.schedule_after(Duration::ZERO, Event::StartAgent(index));
         self.schedule_after(Duration::from_millis(50), Event::StartServer(index));
@@ -519,6 +545,8 @@
                 self.balancer_reads_directory(index, starts)
             }
             Event::AgentReadsDirectory(index, starts) => self.agent_reads_directory(index, starts),
+            Event::RestoreDirectory(copy) => self.restore_directory(*copy),
+            Event::BalancerLearnsEra(index, starts) => self.balancer_learns_era(index, starts),
             Event::DirectoryRestored => {
                 self.directory.available = true;
                 self.directory.stale_copy = None;
