Place new flows last on agents that are only listed

A server that had left could get new flows again after the store's return from a copy: its removed record is back, nobody removes it a second time, and a balancer that starts takes the listed agent for one that it has just heard, for 1.3 s. The opening packet waits there until the hedge.

Agents that have announced themselves to the balancer come before those that are only listed in the directory. While no agent has announced itself yet, the listed ones are compared by load as before.

returned_record_last failed before (a flow of 20 went to the listed agent first).

--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -356,7 +356,8 @@
     }
 
     /// Agents that may take a new flow of `service`, the best first. Agents whose server is an
-    /// outlier come after the others, and those not heard for [`SUSPECT_AFTER`] last.
+    /// outlier come after the others, then those that are only listed in the directory, whose record
+    /// may be old, and those not heard for [`SUSPECT_AFTER`] last.
     pub fn placement_candidates(
         &self,
         service: &str,
@@ -367,11 +368,18 @@
             entry.member.service == service && entry.member.state == State::Ready
         });
         let (heard, suspect): (Vec<_>, Vec<_>) = order.drain(..).partition(|e| !suspect(e, now));
+        let (mut heard, mut listed): (Vec<_>, Vec<_>) =
+            heard.into_iter().partition(|entry| entry.heard_directly);
+        if heard.is_empty() {
+            // No announcement has arrived yet since the start.
+            std::mem::swap(&mut heard, &mut listed);
+        }
         let (outliers, mut heard): (Vec<_>, Vec<_>) = heard.into_iter().partition(|e| e.outlier);
         let compared = LOAD_CHOICES.min(heard.len());
         heard[..compared].sort_by_key(|entry| entry.load() / LOAD_STEP_MILLISLOTS);
         let mut agents: Vec<_> = heard.iter().map(|entry| entry.member.agent).collect();
         agents.extend(outliers.iter().map(|entry| entry.member.agent));
+        agents.extend(listed.iter().map(|entry| entry.member.agent));
         agents.extend(suspect.iter().map(|entry| entry.member.agent));
         agents
     }
--- a/tests/steering/store_era.rs
+++ b/tests/steering/store_era.rs
@@ -7,6 +7,7 @@
 use flamingofall::steering::balancer::{Balancer, Output};
 use flamingofall::steering::message::{Announce, Message};
 use flamingofall::steering::roster::State;
+use flamingofall::steering::segment::Kind;
 
 use super::fixture::*;
 
@@ -79,3 +80,24 @@
     agent.message(addr(BALANCER), message, |_| None, now, &mut out);
     assert_eq!(out, [agent::Output::StoreEra(Era(2))]);
 }
+
+// Guards against new flows for a server that has left: its removed record comes back with the copy,
+// and a balancer that starts reads it.
+#[test]
+fn returned_record_last() {
+    let now = Instant::now();
+    for port in 1..=20 {
+        let mut balancer = balancer(3, now);
+        announce(&mut balancer, 1, now);
+        announce(&mut balancer, 2, now);
+        let mut out = Vec::new();
+        balancer.packet(segment(flow(port), Kind::Open, 0), vec![0], now, &mut out);
+        let (agent, forward) = forwards(&out).remove(0);
+        assert_ne!(agent, agent_addr(3), "port {port}");
+        assert_eq!(
+            forward.candidates.last(),
+            Some(&agent_addr(3)),
+            "port {port}"
+        );
+    }
+}
