--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -64,7 +64,8 @@
     Publish(Member),
     /// Store the open flows in the directory.
     Save(Snapshot),
-    /// Write the record and the snapshot again if the directory is new in this era of the store.
+    /// A balancer has seen the store in this era: write the record and the snapshot again if they
+    /// were written in an earlier one.
     StoreEra(Era),
     /// Record the time from a request to the first data of its answer.
     Latency(Duration),
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -28,8 +28,8 @@
     /// Balancer to agent: an announcement was ignored, as the balancer holds a record of this later
     /// incarnation.
     Superseded(Incarnation),
-    /// Balancer to agent or balancer: the store is in this era. Agents call the store too rarely to
-    /// learn that it has come back from a copy, without their records.
+    /// Balancer to agent or balancer: the store is in this era. An agent may not call the store for
+    /// minutes, and would not learn that it has lost the agent's record.
     StoreEra(Era),
 }
 
