review: a delayed heartbeat makes an agent serve another service

A heartbeat of a server that has crashed arrives at the host whose address another service uses now, just after the agent there was killed. The restarted agent takes the service from it, and gives its server the flows of that service.

The stand-ins of the cases (store, routers, clients, servers) are in review/harness and need no package.

--- /dev/null
+++ b/review/harness/src/cases.rs
@@ -0,0 +1,130 @@
+//! The cases.
+
+use std::time::Duration;
+
+use crate::http;
+use crate::world::{unix_ms, World};
+
+const S: Duration = Duration::from_secs(1);
+
+pub fn run(case: &str, w: &mut World, trouble: bool) -> Result<(), String> {
+    match case {
+        "odd-heartbeat" => odd_heartbeat(w, trouble),
+        "reused-address" => reused_address(w, trouble),
+        other => Err(format!("no case {other}")),
+    }
+}
+
+/// Two balancers, and services `portal` and `statement` with these numbers of servers. Returns
+/// when traffic is served.
+fn deploy(w: &mut World, portal: usize, statement: usize) -> Result<(), String> {
+    w.add_route("balance-watch", "idempotent", "portal");
+    w.add_route("picket-confirm", "non_idempotent", "portal");
+    w.add_route("statement-pdf", "download", "statement");
+    w.configure();
+    for _ in 0..2 {
+        w.add_balancer();
+    }
+    for _ in 0..portal {
+        w.add_host("portal");
+    }
+    for _ in 0..statement {
+        w.add_host("statement");
+    }
+    for _ in 0..4 {
+        w.add_client();
+    }
+    if !w.run_until(10 * S, |w| w.ready() == 2) {
+        return Err("the balancers aren't ready after 10 s".into());
+    }
+    w.run_for(3 * S);
+    // Members watch on long flows, stewards confirm on long flows, statements have a flow each.
+    w.add_users(12, 0, true, Duration::from_millis(300));
+    w.add_users(8, 1, true, Duration::from_millis(300));
+    w.add_users(36, 2, false, Duration::from_millis(300));
+    w.run_for(5 * S);
+    if w.counts.served * 10 < w.counts.requests * 9 {
+        return Err(format!(
+            "only {} of {} served",
+            w.counts.served, w.counts.requests
+        ));
+    }
+    match w.broken.is_empty() {
+        true => Ok(()),
+        false => Err(format!("broken before the disruption: {:?}", w.broken[0])),
+    }
+}
+
+/// Another writer's heartbeat reaches an agent whose server lives and is undisturbed.
+fn odd_heartbeat(w: &mut World, trouble: bool) -> Result<(), String> {
+    deploy(w, 3, 2)?;
+    if trouble {
+        let to = w.control(0);
+        let born = unix_ms();
+        let body = match std::env::var("ODD").as_deref() {
+            // Fields missing.
+            Ok("missing") => format!(
+                "{{\"service\":\"portal\",\"concurrency\":4,\"state\":\"ready\",\"sequence\":1,\
+                 \"born\":{born}}}"
+            ),
+            // A service that isn't named.
+            _ => format!(
+                "{{\"service\":\"ghost\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\
+                 \"version\":\"v1\",\"concurrency\":4,\"state\":\"ready\",\
+                 \"cold_remaining_ms\":0,\"sequence\":1,\"born\":{born}}}"
+            ),
+        };
+        let path = "/flamingofall/Instances.Heartbeat/i-other";
+        let status = http::call(to, "POST", path, &body);
+        w.note(&format!(
+            "another writer's heartbeat to host 0: {body} -> {status:?}"
+        ));
+    }
+    w.run_for(10 * S);
+    Ok(())
+}
+
+/// A heartbeat of a server that has crashed arrives late, at the host whose address another
+/// service uses now, just after the agent there has been killed and started again.
+fn reused_address(w: &mut World, trouble: bool) -> Result<(), String> {
+    deploy(w, 3, 6)?;
+    // The statement server on host 3 crashes for good, and its machine goes. Its last heartbeat is
+    // held up.
+    let host = 3;
+    let old = w.hosts[host].server.as_mut().ok_or("no server")?;
+    let (path, body) = old.heartbeat("127.0.0.1:9");
+    w.hosts[host].server = None;
+    w.note("server i-3a crashes for good; its last heartbeat is under way");
+    w.hosts[host].process.kill();
+    // addr_reuse_s is 2. Then its address goes to a machine with a server of the other service.
+    w.run_for(Duration::from_millis(2100));
+    w.hosts[host].process = w.agent_process(host, "side-z-x", "portal");
+    if !w.run_until(5 * S, |w| w.listens(host)) {
+        return Err("the new agent doesn't listen".into());
+    }
+    w.start_server(host, "i-xa", "portal");
+    let answered = w.last_heartbeat_answer.get(&host).copied();
+    if !w.run_until(3 * S, |w| {
+        w.last_heartbeat_answer.get(&host).copied() != answered
+    }) {
+        return Err("the new server isn't registered".into());
+    }
+    // The new server has registered. The agent's process is killed, and starts again after a short
+    // delay.
+    w.note("server i-xa is registered; the agent on host 3 is killed");
+    w.hosts[host].process.kill();
+    w.run_for(Duration::from_millis(300));
+    w.hosts[host].process.start();
+    if trouble {
+        if !w.run_until(5 * S, |w| w.listens(host)) {
+            return Err("the restarted agent doesn't listen".into());
+        }
+        let to = w.control(host);
+        let status = http::call(to, "POST", &path, &body);
+        w.note(&format!(
+            "the delayed heartbeat of i-3a arrives at host 3: {body} -> {status:?}"
+        ));
+    }
+    w.run_for(8 * S);
+    Ok(())
+}
--- /dev/null
+++ b/review/harness/src/main.rs
@@ -0,0 +1,55 @@
+//! Runs one case of the review: `review-harness CASE FOLDER`. Exits with 1 if a rule was broken,
+//! with 0 if it held, and with 2 if the case couldn't run. With TROUBLE=0 in the environment the
+//! disruption is left out.
+
+mod cases;
+mod client;
+mod http;
+mod json;
+mod packet;
+mod process;
+mod server;
+mod store;
+mod world;
+
+use std::path::Path;
+use std::process::exit;
+
+use world::World;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-harness CASE FOLDER");
+        exit(2);
+    };
+    if !Path::new("target/release/flamingofall-platform").exists() {
+        eprintln!("target/release/flamingofall-platform is missing");
+        exit(2);
+    }
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let mut world = match World::new(Path::new(folder)) {
+        Ok(world) => world,
+        Err(error) => {
+            eprintln!("{error}");
+            exit(2);
+        }
+    };
+    let result = cases::run(case, &mut world, trouble);
+    let (counts, broken) = world.finish();
+    println!(
+        "{case}: {} attempts sent, {} requests answered, {} failed, {} runs",
+        counts.requests, counts.served, counts.failed, counts.runs
+    );
+    if let Err(error) = result {
+        println!("couldn't run: {error}");
+        exit(2);
+    }
+    for (rule, text) in broken.iter().take(10) {
+        println!("broken {rule}: {text}");
+    }
+    if broken.len() > 10 {
+        println!("and {} more", broken.len() - 10);
+    }
+    exit(i32::from(!broken.is_empty()));
+}
