review: a drain that an agent acknowledged is not applied

While another writer's heartbeats, with fields missing, reach an agent, it ignores those of its server, but answers them with 200. A server that drains gets new flows until it exits, and requests that it accepted after the bound are lost.

--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -260,6 +260,14 @@
         out
     }
 
+    /// Requests that it works on or has queued.
+    pub fn under_way(&self) -> Vec<u64> {
+        let running = self.running.iter().map(|(.., id)| *id);
+        running
+            .chain(self.queued.iter().map(|(_, id)| *id))
+            .collect()
+    }
+
     /// Flows that are open here.
     pub fn holds(&self, key: &(End, End)) -> bool {
         self.flows.get(key).is_some_and(|flow| flow.open)
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -321,6 +321,22 @@
         self.hosts[host].server = Some(Server::new(id, service, born, Instant::now()));
     }
 
+    /// The server says that it leaves, and exits.
+    pub fn leave(&mut self, host: usize) {
+        let Some(server) = self.hosts[host].server.take() else {
+            return;
+        };
+        let path = format!("/flamingofall/Instances.Deregister/{}", server.id);
+        let body = format!("{{\"born\":{}}}", server.born);
+        let status = http::call(self.control(host), "POST", &path, &body);
+        let lost = server.under_way();
+        self.note(&format!(
+            "server {} on host {host} says that it leaves -> {status:?}, and exits; \
+             requests under way, never answered: {lost:?}",
+            server.id
+        ));
+    }
+
     pub fn add_route(&mut self, name: &'static str, kind: &'static str, service: &str) {
         let index = self.routes.len();
         let to = (
