--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review-harness
 [ -x "$program" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$program" ignored-drain review/3
+exec "$program" odd-heartbeat review/3
--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -110,6 +110,16 @@
     if !w.run_until(5 * S, |w| w.listens(host)) {
         return Err("the new agent doesn't listen".into());
     }
+    if trouble && std::env::var_os("EARLY").is_some() {
+        // Without the kill: the heartbeat arrives before the first one of the new server.
+        w.start_server(host, "i-xa", "portal");
+        let server = w.hosts[host].server.as_mut().ok_or("no server")?;
+        server.next_heartbeat += HEARTBEAT;
+        let status = http::call(w.control(host), "POST", &path, &body);
+        w.note(&format!("the delayed heartbeat of i-3a arrives at host 3: {body} -> {status:?}"));
+        w.run_for(8 * S);
+        return Ok(());
+    }
     w.start_server(host, "i-xa", "portal");
     let answered = w.last_heartbeat_answer.get(&host).copied();
     if !w.run_until(3 * S, |w| {
