--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http;
 use crate::world::{unix_ms, World, HEARTBEAT};
@@ -11,7 +11,7 @@
 pub fn rule(case: &str) -> &'static str {
     match case {
         "ignored-drain" => "DRAIN",
-        "odd-heartbeat" => "FLOW",
+        "odd-heartbeat" | "overlapping-restarts" => "FLOW",
         "silent-watch" => "CONFIG",
         _ => "ROUTE",
     }
@@ -22,19 +22,20 @@
         "odd-heartbeat" => odd_heartbeat(w, trouble),
         "reused-address" => reused_address(w, trouble),
         "ignored-drain" => ignored_drain(w, trouble),
+        "overlapping-restarts" => overlapping_restarts(w, trouble),
         "silent-watch" => silent_watch(w, trouble),
         other => Err(format!("no case {other}")),
     }
 }
 
-/// Two balancers, and services `portal` and `statement` with these numbers of servers. Returns
+/// Balancers, and services `portal` and `statement` with these numbers of servers. Returns
 /// when traffic is served.
-fn deploy(w: &mut World, portal: usize, statement: usize) -> Result<(), String> {
+fn deploy(w: &mut World, balancers: usize, portal: usize, statement: usize) -> Result<(), String> {
     w.add_route("balance-watch", "idempotent", "portal");
     w.add_route("picket-confirm", "non_idempotent", "portal");
     w.add_route("statement-pdf", "download", "statement");
     w.configure();
-    for _ in 0..2 {
+    for _ in 0..balancers {
         w.add_balancer();
     }
     for _ in 0..portal {
@@ -46,7 +47,7 @@
     for _ in 0..4 {
         w.add_client();
     }
-    if !w.run_until(10 * S, |w| w.ready() == 2) {
+    if !w.run_until(10 * S, |w| w.ready() == balancers) {
         return Err("the balancers aren't ready after 10 s".into());
     }
     w.run_for(3 * S);
@@ -69,7 +70,7 @@
 
 /// Another writer's heartbeat reaches an agent whose server lives and is undisturbed.
 fn odd_heartbeat(w: &mut World, trouble: bool) -> Result<(), String> {
-    deploy(w, 3, 2)?;
+    deploy(w, 2, 3, 2)?;
     if trouble {
         let to = w.control(0);
         let born = unix_ms();
@@ -77,9 +78,10 @@
             Ok("missing") => fields_missing("portal", 1, born),
             // A service that isn't named.
             _ => format!(
-                "{{\"service\":\"ghost\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\
+                "{{\"service\":\"ghost\",\"address\":\"{}\",\"zone\":\"z\",\
                  \"version\":\"v1\",\"concurrency\":4,\"state\":\"ready\",\
-                 \"cold_remaining_ms\":0,\"sequence\":1,\"born\":{born}}}"
+                 \"cold_remaining_ms\":0,\"sequence\":1,\"born\":{born}}}",
+                w.app(0)
             ),
         };
         let path = "/flamingofall/Instances.Heartbeat/i-other";
@@ -95,12 +97,24 @@
 /// A heartbeat of a server that has crashed arrives late, at the host whose address another
 /// service uses now, just after the agent there has been killed and started again.
 fn reused_address(w: &mut World, trouble: bool) -> Result<(), String> {
-    deploy(w, 3, 6)?;
+    deploy(w, 2, 3, 6)?;
+    if trouble && std::env::var_os("ODD").is_some() {
+        // Nothing but one heartbeat of another writer, with fields missing, at a host of `portal`.
+        let body = fields_missing("statement", 1, unix_ms());
+        let path = "/flamingofall/Instances.Heartbeat/i-other";
+        let status = http::call(w.control(0), "POST", path, &body);
+        w.note(&format!(
+            "another writer's heartbeat to host 0: {body} -> {status:?}"
+        ));
+        w.run_for(8 * S);
+        return Ok(());
+    }
     // The statement server on host 3 crashes for good, and its machine goes. Its last heartbeat is
     // held up.
     let host = 3;
+    let app = w.app(host);
     let old = w.hosts[host].server.as_mut().ok_or("no server")?;
-    let (path, body) = old.heartbeat("127.0.0.1:9");
+    let (path, body) = old.heartbeat(&app);
     w.hosts[host].server = None;
     w.note("server i-3a crashes for good; its last heartbeat is under way");
     w.hosts[host].process.kill();
@@ -116,7 +130,9 @@
         let server = w.hosts[host].server.as_mut().ok_or("no server")?;
         server.next_heartbeat += HEARTBEAT;
         let status = http::call(w.control(host), "POST", &path, &body);
-        w.note(&format!("the delayed heartbeat of i-3a arrives at host 3: {body} -> {status:?}"));
+        w.note(&format!(
+            "the delayed heartbeat of i-3a arrives at host 3: {body} -> {status:?}"
+        ));
         w.run_for(8 * S);
         return Ok(());
     }
@@ -147,12 +163,12 @@
     Ok(())
 }
 
-/// The store is silent to one balancer and then to the other, for a second each, while the
-/// operator writes. 4.5 s after that it is well again, and the operator moves a route.
+/// The store is silent to one balancer after the other, for half a second each, while the operator
+/// writes. 4.5 s after that it is well again, and the operator moves a route.
 fn silent_watch(w: &mut World, trouble: bool) -> Result<(), String> {
-    deploy(w, 3, 3)?;
+    deploy(w, 3, 3, 3)?;
     w.configure();
-    for balancer in 0..2 {
+    for balancer in 0..3 {
         w.run_for(Duration::from_millis(250));
         if trouble {
             w.note(&format!("the store is silent to balancer {balancer}"));
@@ -183,7 +199,7 @@
 
 /// Another writer's heartbeats, with fields missing, reach an agent. Its server drains meanwhile.
 fn ignored_drain(w: &mut World, trouble: bool) -> Result<(), String> {
-    deploy(w, 3, 3)?;
+    deploy(w, 2, 3, 3)?;
     let host = 3;
     let (to, born) = (w.control(host), unix_ms());
     for sequence in 1..=16 {
@@ -208,3 +224,74 @@
     }
     Ok(())
 }
+
+/// Four turns of the agents and one of the balancers: each asks a process to stop every 1.3 s. One
+/// that has ended starts again 0.5 s later.
+fn overlapping_restarts(w: &mut World, trouble: bool) -> Result<(), String> {
+    deploy(w, 4, 7, 4)?;
+    w.add_users(60, 0, true, Duration::from_millis(600));
+    w.add_users(30, 1, true, Duration::from_millis(600));
+    w.run_for(5 * S);
+    let gap = Duration::from_millis(1300);
+    let begin = Instant::now();
+    let turns = 4;
+    let mut due: Vec<Instant> = (0..=turns).map(|n| begin + gap * n / 5).collect();
+    let mut next = vec![0usize; turns as usize + 1];
+    let mut stopping: Vec<(bool, usize, Option<Instant>)> = Vec::new();
+    while trouble && begin.elapsed() < 60 * S {
+        let now = Instant::now();
+        for turn in 0..due.len() {
+            if due[turn] > now {
+                continue;
+            }
+            due[turn] += gap;
+            let balancer = turn == turns as usize;
+            let count = if balancer {
+                w.balancers.len()
+            } else {
+                w.hosts.len()
+            };
+            // The turns go through the machines in different orders.
+            let index = match turn {
+                0 => next[turn],
+                1 => count - 1 - next[turn],
+                2 => next[turn] * 3,
+                3 => next[turn] * 5 + 2,
+                _ => next[turn],
+            } % count;
+            next[turn] = (next[turn] + 1) % count;
+            if stopping
+                .iter()
+                .any(|(b, i, _)| (*b, *i) == (balancer, index))
+            {
+                continue;
+            }
+            w.note(&format!(
+                "asked to stop: {} {index}",
+                if balancer { "balancer" } else { "agent" }
+            ));
+            match balancer {
+                true => w.balancers[index].process.terminate(),
+                false => w.hosts[index].process.terminate(),
+            }
+            stopping.push((balancer, index, None));
+        }
+        for (balancer, index, ended) in &mut stopping {
+            let process = match balancer {
+                true => &mut w.balancers[*index].process,
+                false => &mut w.hosts[*index].process,
+            };
+            if ended.is_none() && process.ended() {
+                *ended = Some(now);
+            }
+            if ended.is_some_and(|at| now - at >= Duration::from_millis(500)) {
+                process.start();
+            }
+        }
+        stopping
+            .retain(|(.., ended)| !ended.is_some_and(|at| now - at >= Duration::from_millis(500)));
+        w.run_for(Duration::from_millis(10));
+    }
+    w.run_for(5 * S);
+    Ok(())
+}
--- a/review/harness/src/process.rs
+++ b/review/harness/src/process.rs
@@ -6,11 +6,13 @@
 use std::process::{Child, Command, Stdio};
 
 extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
 
 pub struct Process {
     role: &'static str,
@@ -58,6 +60,21 @@
         self.child = Some(command.spawn().expect("the program of the deploy file"));
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            unsafe { kill(child.id() as i32, SIGTERM) };
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn ended(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => child.try_wait().ok().flatten().is_some(),
+            None => true,
+        }
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -120,6 +120,9 @@
     runs: HashMap<u64, u32>,
     /// Hosts whose server or link is disturbed at the moment or was within 4 s.
     pub disturbed: HashMap<usize, Instant>,
+    /// Packets of an open flow that reached other servers since the last one at its own: when the
+    /// first and the last one did, how many, and whether the flow has been reported.
+    astray: HashMap<(End, End), (Instant, Instant, u32, bool)>,
     /// What broke, by rule.
     pub broken: Vec<(&'static str, String)>,
     pub counts: Counts,
@@ -169,6 +172,7 @@
             openings: HashMap::new(),
             runs: HashMap::new(),
             disturbed: HashMap::new(),
+            astray: HashMap::new(),
             broken: Vec::new(),
             counts: Counts::default(),
             machines: 0,
@@ -198,6 +202,11 @@
         self.at(20, host, CONTROL_PORT)
     }
 
+    /// Address at which the server of a host gets packets.
+    pub fn app(&self, host: usize) -> String {
+        self.at(20, host, APP_PORT).to_string()
+    }
+
     fn at(&self, group: u8, index: usize, port: u16) -> SocketAddr {
         SocketAddr::from(([127, self.octet, group, index as u8 + 1], port))
     }
@@ -605,6 +614,37 @@
         self.break_rule("FLOW", text);
     }
 
+    /// FLOW (b): for 2,000 ms three or more of the flow's packets reach other servers and none its
+    /// own. A client's packet may reach several servers, and its next copy comes 200 ms later:
+    /// arrivals within 150 ms count as one.
+    fn check_way(&mut self, key: (End, End), host: usize, now: Instant) {
+        let holds = |h: &Host| h.server.as_ref().is_some_and(|s| s.holds(&key));
+        let Some(own) = self.hosts.iter().position(holds) else {
+            self.astray.remove(&key);
+            return;
+        };
+        if own == host {
+            self.astray.remove(&key);
+            return;
+        }
+        let entry = self.astray.entry(key).or_insert((now, now, 1, false));
+        if now - entry.1 >= Duration::from_millis(150) {
+            entry.1 = now;
+            entry.2 += 1;
+        }
+        let (first, _, packets, reported) = *entry;
+        if packets >= 3 && now - first >= Duration::from_millis(2000) && !reported {
+            entry.3 = true;
+            let text = format!(
+                "for {} ms {packets} packets of flow {}, open at host {own}, reached other servers \
+                 and none its own",
+                (now - first).as_millis(),
+                show(key.0)
+            );
+            self.break_rule("FLOW", text);
+        }
+    }
+
     fn server_effects(&mut self, host: usize, effects: Vec<Effect>) {
         let outbound = self.at(20, host, OUTBOUND_PORT);
         let Some(server) = &self.hosts[host].server else {
@@ -686,6 +726,9 @@
         if !genuine || packet.flags & packet::BOUNCED != 0 {
             self.break_rule("UNASKED", format!("host {host} got a changed packet"));
         }
+        if packet.flags & SYN == 0 {
+            self.check_way((packet.src, packet.dst), host, now);
+        }
         let Some(server) = &mut self.hosts[host].server else {
             return;
         };
