review: traffic of case 2 goes on without the disruption

With TROUBLE=0, run.sh of case 2 ended its traffic 60 s too early. It now runs as long as with the disruption.

--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -238,7 +238,11 @@
     let mut due: Vec<Instant> = (0..=turns).map(|n| begin + gap * n / 5).collect();
     let mut next = vec![0usize; turns as usize + 1];
     let mut stopping: Vec<(bool, usize, Option<Instant>)> = Vec::new();
-    while trouble && begin.elapsed() < 60 * S {
+    while begin.elapsed() < 60 * S {
+        if !trouble {
+            w.run_for(S);
+            continue;
+        }
         let now = Instant::now();
         for turn in 0..due.len() {
             if due[turn] > now {
