--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,5 +1,5 @@
-//! Runs one case of the review: `review-harness CASE FOLDER`. Exits with 1 if a rule was broken,
-//! with 0 if it held, and with 2 if the case couldn't run. With TROUBLE=0 in the environment the
+//! Runs one case of the review: `review-harness CASE FOLDER TROUBLE`. Exits with 1 if a rule was broken,
+//! with 0 if it held, and with 2 if the case couldn't run. If TROUBLE is 0, the
 //! disruption is left out.
 
 mod cases;
@@ -19,15 +19,15 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-harness CASE FOLDER");
+    let [_, case, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: review-harness CASE FOLDER TROUBLE");
         exit(2);
     };
     if !Path::new("target/release/flamingofall-platform").exists() {
         eprintln!("target/release/flamingofall-platform is missing");
         exit(2);
     }
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
     let mut world = match World::new(Path::new(folder)) {
         Ok(world) => world,
         Err(error) => {
