Refuse heartbeats that aren't the agent's own server's

Cause: the decoder looked only at the fields that the agent uses, and the agent took any heartbeat with a later start for that of a successor, whatever service or address it named. The successor's appearance ended the flows of its predecessor.

Ruled out: the order of starts. A successor has to be accepted at once.

Agent::heartbeat compares service and address with the settings before anything else. The stand-in of the soak named the agent's address as its server's; it names the server's now.

--- a/emulator/src/server.rs
+++ b/emulator/src/server.rs
@@ -1,6 +1,7 @@
 //! A model of a backend server with a limited number of slots and a queue.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use flamingofall::hash::hash_bytes;
@@ -102,11 +103,12 @@
         self.last_answer.remove(flow);
     }
 
-    /// Creates the next heartbeat for the agent.
-    pub fn heartbeat(&mut self) -> Heartbeat {
+    /// Creates the next heartbeat for the agent. `address` is that of the server.
+    pub fn heartbeat(&mut self, address: SocketAddr) -> Heartbeat {
         self.heartbeat_sequence += 1;
         Heartbeat {
             server: self.name.clone(),
+            address,
             started: self.started_ms,
             service: self.service.clone(),
             state: if self.draining {
--- a/emulator/src/simulation/agents.rs
+++ b/emulator/src/simulation/agents.rs
@@ -34,7 +34,10 @@
         }
         let mut state_machine = Agent::new(
             host.address,
-            host.service.clone(),
+            agent::Server {
+                service: host.service.clone(),
+                address: host.address,
+            },
             incarnation,
             HEARTBEAT_INTERVAL,
             now,
@@ -194,7 +197,7 @@
         let mut out = Vec::new();
         let frozen = host.faults.is_frozen(self.now);
         if let Some(state_machine) = host.state_machine.as_mut().filter(|_| !frozen) {
-            let heartbeat = server.heartbeat();
+            let heartbeat = server.heartbeat(host.address);
             state_machine.heartbeat(heartbeat, now, &mut out);
             if server.draining && host.draining_since.is_none() {
                 host.draining_since = Some(self.now);
--- a/emulator/tests/schedules.rs
+++ b/emulator/tests/schedules.rs
@@ -125,7 +125,11 @@
         let period = Duration::from_millis(770);
         let agents = (0..2).map(|index| {
             let at = agent_at(index);
-            let mut agent = Agent::new(at, SERVICE.into(), Incarnation(1), period, now);
+            let server = agent::Server {
+                service: SERVICE.into(),
+                address: at,
+            };
+            let mut agent = Agent::new(at, server, Incarnation(1), period, now);
             (0..2).for_each(|balancer| agent.add_balancer(balancer_at(balancer), now));
             agent
         });
@@ -151,7 +155,7 @@
             let name = format!("server-{index}");
             let mut server = Server::new(name, SERVICE.into(), 1, (4, 16, PROCESSING_TIME));
             let mut out = Vec::new();
-            cluster.agents[index].heartbeat(server.heartbeat(), now, &mut out);
+            cluster.agents[index].heartbeat(server.heartbeat(agent_at(index)), now, &mut out);
             cluster.servers.push(Some(server));
             cluster.apply_agent_outputs(index, out);
         }
--- a/soak/src/host.rs
+++ b/soak/src/host.rs
@@ -74,11 +74,11 @@
     }
 }
 
-/// Returns the path and the JSON body of a server's next heartbeat; `to` is the agent's address.
-pub fn heartbeat_request(server: &mut Server, to: SocketAddr) -> (String, Vec<u8>) {
-    let heartbeat = server.heartbeat();
+/// Returns the path and the JSON body of a server's next heartbeat; `address` is that of the server.
+pub fn heartbeat_request(server: &mut Server, address: SocketAddr) -> (String, Vec<u8>) {
+    let heartbeat = server.heartbeat(address);
     let body = json!({
-        "service": heartbeat.service, "address": to, "zone": "z", "version": "v1",
+        "service": heartbeat.service, "address": heartbeat.address, "zone": "z", "version": "v1",
         "concurrency": heartbeat.slots.0, "cold_remaining_ms": 0,
         "state": if server.draining { "draining" } else { "ready" },
         "sequence": heartbeat.sequence, "born": heartbeat.started,
--- a/soak/src/run/servers.rs
+++ b/soak/src/run/servers.rs
@@ -15,7 +15,7 @@
 use crate::fabric::send_datagram;
 use crate::host::{heartbeat_request, send_http_request};
 use crate::network::{
-    HostGroup, Role, HEARTBEAT_INTERVAL_MS, HEARTBEAT_PORT, SERVER_OUTBOUND_PORT,
+    HostGroup, Role, HEARTBEAT_INTERVAL_MS, HEARTBEAT_PORT, SERVER_OUTBOUND_PORT, SERVER_PORT,
 };
 use crate::packet::{self, Content, Sender};
 use crate::process::TERMINATION_GRACE;
@@ -45,11 +45,14 @@
         let to = self
             .network
             .socket_addr(HostGroup::Agent, index, HEARTBEAT_PORT);
+        let address = self
+            .network
+            .socket_addr(HostGroup::Agent, index, SERVER_PORT);
         let server = self.agents[index].server.as_mut();
         let Some(server) = server.filter(|server| server.started_ms == started) else {
             return;
         };
-        let (path, body) = heartbeat_request(server, to);
+        let (path, body) = heartbeat_request(server, address);
         let draining = server.draining;
         let events = self.events.clone();
         tokio::spawn(async move {
--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -73,11 +73,22 @@
     Log(LogEvent),
 }
 
+/// The server beside an agent, as the agent's settings name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// Service that the server belongs to.
+    pub service: String,
+    /// Address at which the server receives packets.
+    pub address: SocketAddr,
+}
+
 /// A server's report of its own state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
     /// Name of the server.
     pub server: String,
+    /// Address at which the server receives packets.
+    pub address: SocketAddr,
     /// Start of the server's process in Unix milliseconds; zero if not reported.
     pub started: u64,
     /// Service that the server belongs to.
@@ -98,12 +109,17 @@
     Accepted,
     /// A later heartbeat, or one of a later process, was applied before.
     Outdated,
+    /// The heartbeat names another service or address than those of the agent's server.
+    Foreign,
 }
 
 /// The state machine of an agent, which runs beside one backend server.
 #[derive(Debug)]
 pub struct Agent {
+    /// Its service is always that of the agent's server.
     member: Member,
+    /// Address of the server. Heartbeats from elsewhere are another writer's.
+    server_address: SocketAddr,
     /// Sequence number of the last heartbeat of the server's process.
     server_sequence: u64,
     /// When the last heartbeat arrived, on time or late.
@@ -140,10 +156,10 @@
 }
 
 impl Agent {
-    /// Creates an agent that receives packets at `address`, for a server of `service`.
+    /// Creates an agent that receives packets at `address` for `server`.
     pub fn new(
         address: SocketAddr,
-        service: String,
+        server: Server,
         incarnation: Incarnation,
         heartbeat_interval: Duration,
         now: Instant,
@@ -153,12 +169,13 @@
                 agent: address,
                 incarnation,
                 sequence: Sequence(0),
-                service,
+                service: server.service,
                 server: String::new(),
                 started: 0,
                 state: State::Waiting,
                 slots: Slots(1),
             },
+            server_address: server.address,
             server_sequence: 0,
             last_heartbeat: None,
             ran_until: None,
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -19,13 +19,23 @@
 
 impl Agent {
     /// Applies a heartbeat of the server. If it comes from another process than the last one,
-    /// resets the flows of that process.
+    /// resets the flows of that process. A heartbeat that isn't applied changes nothing.
     pub fn heartbeat(
         &mut self,
         heartbeat: Heartbeat,
         now: Instant,
         out: &mut Vec<Output>,
     ) -> HeartbeatOutcome {
+        if heartbeat.service != self.member.service || heartbeat.address != self.server_address {
+            out.push(log_event(
+                Topic::HeartbeatIgnored,
+                format!(
+                    "server={} service={:?} address={} reason=foreign",
+                    heartbeat.server, heartbeat.service, heartbeat.address
+                ),
+            ));
+            return HeartbeatOutcome::Foreign;
+        }
         let same =
             heartbeat.server == self.member.server && heartbeat.started == self.member.started;
         let late = same && heartbeat.sequence <= self.server_sequence;
@@ -55,7 +65,6 @@
         let mut member = self.member.clone();
         member.server = heartbeat.server;
         member.started = heartbeat.started;
-        member.service = heartbeat.service;
         member.slots = heartbeat.slots;
         member.state = heartbeat.state;
         self.confirm_flows(&member, out);
--- a/tests/response_stats.rs
+++ b/tests/response_stats.rs
@@ -5,7 +5,7 @@
 
 use flamingofall::id::{Incarnation, Sequence, Slots};
 use flamingofall::packet::{Flow, Protocol};
-use flamingofall::steering::agent::{self, Agent, Heartbeat};
+use flamingofall::steering::agent::{self, Agent, Heartbeat, Server};
 use flamingofall::steering::message::{Announce, Forward, Message};
 use flamingofall::steering::response_stats::{outliers, ResponseMeter, ResponseStats};
 use flamingofall::steering::roster::{Member, Roster, State};
@@ -140,10 +140,16 @@
 fn announced_stats(kind: Kind, sequence: u32) -> Option<ResponseStats> {
     let now = Instant::now();
     let every = Duration::from_secs(1);
-    let mut agent = Agent::new(agent(1), "portal".into(), Incarnation(1), every, now);
+    let server = Server {
+        service: "portal".into(),
+        address: SocketAddr::from(([10, 1, 0, 1], 8165)),
+    };
+    let address = server.address;
+    let mut agent = Agent::new(agent(1), server, Incarnation(1), every, now);
     let mut out = Vec::new();
     let heartbeat = Heartbeat {
         server: "a".into(),
+        address,
         started: 5,
         service: "portal".into(),
         state: State::Ready,
--- a/tests/steering/confirmation.rs
+++ b/tests/steering/confirmation.rs
@@ -74,7 +74,7 @@
 fn new_run(agent: &Agent, now: Instant) -> Agent {
     let mut agent = Agent::new(
         agent.member().agent,
-        "portal".into(),
+        portal_server(),
         Incarnation(2),
         Duration::from_millis(770),
         now,
--- a/tests/steering/fixture.rs
+++ b/tests/steering/fixture.rs
@@ -125,9 +125,20 @@
     }
 }
 
+/// Address of the servers under test.
+pub const SERVER: &str = "10.1.0.1:8165";
+
+pub fn portal_server() -> agent::Server {
+    agent::Server {
+        service: "portal".into(),
+        address: addr(SERVER),
+    }
+}
+
 pub fn heartbeat(server: &str, started: u64, sequence: u64, state: State) -> Heartbeat {
     Heartbeat {
         server: server.into(),
+        address: addr(SERVER),
         started,
         service: "portal".into(),
         state,
@@ -139,7 +150,7 @@
 pub fn ready_agent(now: Instant) -> Agent {
     let mut agent = Agent::new(
         agent_addr(1),
-        "portal".into(),
+        portal_server(),
         Incarnation(1),
         Duration::from_millis(770),
         now,
--- a/tests/steering/identity.rs
+++ b/tests/steering/identity.rs
@@ -16,7 +16,7 @@
 fn new_agent(incarnation: u64, now: Instant) -> Agent {
     let mut agent = Agent::new(
         agent_addr(1),
-        "portal".into(),
+        portal_server(),
         Incarnation(incarnation),
         Duration::from_millis(770),
         now,
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -5,6 +5,7 @@
 mod confirmation;
 mod evidence;
 mod fixture;
+mod foreign;
 mod identity;
 mod odd_records;
 mod overload;
@@ -499,7 +500,7 @@
     let now = Instant::now();
     let mut agent = Agent::new(
         agent_addr(1),
-        "portal".into(),
+        portal_server(),
         Incarnation(2),
         Duration::from_millis(770),
         now,
--- a/tests/steering/store_era.rs
+++ b/tests/steering/store_era.rs
@@ -70,7 +70,7 @@
     let interval = std::time::Duration::from_millis(770);
     let mut agent = Agent::new(
         agent_addr(1),
-        "portal".into(),
+        portal_server(),
         Incarnation(1),
         interval,
         now,
--- a/tests/steering/used_ports.rs
+++ b/tests/steering/used_ports.rs
@@ -30,7 +30,7 @@
     fn new(holder: Option<SocketAddr>, now: Instant) -> Self {
         let mut second = Agent::new(
             agent_addr(2),
-            "portal".into(),
+            portal_server(),
             Incarnation(1),
             Duration::from_millis(770),
             now,
