Notice a lost response to a watch of the configuration

Cause: a watch whose response is lost on a living connection looks like one without news, and was awaited for 15.8 s. Peers' digests hid it until all balancers were in this state: what they told was never compared with what the watch had not.

Ruled out: keep-alive probes, which the connection answers, and the order of configurations.

Change: a balancer that has had a later configuration from a peer for a second gives its watch up and lists again, once for a version. The waits of the balancers end one after the other, one every 2 s (steering::watch). Processes that start, or are alone, wait 2 s.

--- a/emulator/src/simulation/balancers.rs
+++ b/emulator/src/simulation/balancers.rs
@@ -127,7 +127,9 @@
                 }
                 balancer::Output::Fetch(source) => self.fetch_configuration(index, source),
                 balancer::Output::Log(event) => self.log(&from.ip().to_string(), &event),
-                balancer::Output::Latency(_) | balancer::Output::StoreEra(_) => {}
+                balancer::Output::Latency(_)
+                | balancer::Output::StoreEra(_)
+                | balancer::Output::Slot(_) => {}
             }
         }
     }
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -14,8 +14,10 @@
     reachable, Entry, InvalidField, Member, Process, State, OVERDUE_AFTER, SUSPECT_AFTER,
 };
 
+use crate::steering::watch::Slot;
+
 use super::evidence::Change;
-use super::{log_event, Balancer, Output};
+use super::{log_event, Balancer, Output, DIGEST_INTERVAL};
 
 /// Number of times that a balancer tells an agent of a new era of the store.
 const ERA_NOTICES: u32 = 3;
@@ -24,6 +26,9 @@
 /// A balancer that hears none of its agents for this long is cut off from them: each has missed two
 /// announcements.
 const ISOLATED_AFTER: Duration = Duration::from_millis(900);
+/// Digests of a peer that may be missed, at the average interval between those of one peer, until
+/// the peer counts as stopped.
+const MISSED_DIGESTS_MAX: usize = 4;
 /// Minimum number of agents whose common silence counts as a cut: fewer may all have failed
 /// themselves.
 const ISOLATED_AGENTS_MIN: usize = 3;
@@ -272,6 +277,20 @@
         }
     }
 
+    /// Reports this balancer's slot among the peers that run, if it has changed.
+    pub(super) fn update_slot(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let rounds = self.peers.len().div_ceil(DIGEST_FANOUT) * MISSED_DIGESTS_MAX;
+        let limit = DIGEST_INTERVAL * rounds as u32;
+        let running = |heard: &Instant| now.saturating_duration_since(*heard) <= limit;
+        let peers = self.peers.iter().filter(|(_, heard)| running(heard));
+        let (before, after): (Vec<_>, Vec<_>) = peers.partition(|(peer, _)| **peer < self.address);
+        let slot = Slot::between(before.len(), after.len());
+        if slot != self.slot {
+            self.slot = slot;
+            out.push(Output::Slot(slot));
+        }
+    }
+
     /// Sends the list of balancers to agents that aren't heard: they may not know this balancer.
     pub(super) fn remind_silent_agents(&self, now: Instant, out: &mut Vec<Output>) {
         let silent = |entry: &&Entry| {
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -21,6 +21,7 @@
 use crate::steering::roster::Roster;
 use crate::steering::routes::{Repeat, RouteTable, Routes, Source};
 use crate::steering::segment::Segment;
+use crate::steering::watch::Slot;
 
 use placement::PendingPlacement;
 
@@ -63,6 +64,8 @@
     Fetch(SocketAddr),
     /// A peer has seen the store in this era.
     StoreEra(Era),
+    /// The balancer's place among its peers has changed.
+    Slot(Slot),
     /// Record the time from a flow's first packet to the first report of its acceptance.
     Latency(Duration),
     /// Log and count a decision or a state change.
@@ -97,6 +100,8 @@
     digest_due: Instant,
     outlier_check_due: Instant,
     expire_due: Instant,
+    /// The slot that was last reported.
+    slot: Slot,
     /// Whether the list of agents in the directory has been read.
     directory_read: bool,
     /// Latest era of the store that this process has seen; zero before the first one.
@@ -126,6 +131,7 @@
             digest_due: now,
             outlier_check_due: now,
             expire_due: now,
+            slot: Slot::default(),
             directory_read: false,
             store_era: Era::default(),
             era_notices: HashMap::new(),
@@ -286,6 +292,7 @@
                 .retain(|_, heard| now.saturating_duration_since(*heard) < PEER_EXPIRY);
             self.digest_senders
                 .retain(|sender| self.peers.contains_key(sender));
+            self.update_slot(now, out);
             self.named_agents
                 .retain(|_, named| now.saturating_duration_since(*named) < NAMED_AGENT_EXPIRY);
         }
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -20,3 +20,4 @@
 mod search;
 pub mod segment;
 pub mod snapshot;
+pub mod watch;
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -13,6 +13,7 @@
 mod resets;
 mod store_era;
 mod used_ports;
+mod watch_slots;
 
 use flamingofall::id::{Generation, Incarnation, Sequence};
 use flamingofall::packet::Flow;
