Acknowledge only calls of a server that were applied

Cause: the agent answered every call with 200 and dropped the outcome, so a report that was ignored as outdated was acknowledged.

Agent::server_left returns whether the notice was applied. A heartbeat that arrives after the acknowledged notice of the end no longer undoes it.

--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -38,7 +38,9 @@
         }
         let same =
             heartbeat.server == self.member.server && heartbeat.started == self.member.started;
-        let late = same && heartbeat.sequence <= self.server_sequence;
+        // A process that has announced its end sends no later heartbeat.
+        let late = same
+            && (heartbeat.sequence <= self.server_sequence || self.member.state == State::Gone);
         let earlier = heartbeat.started < self.member.started;
         if late || earlier && !self.succeeds_silent_server(&heartbeat, now) {
             out.push(log_event(
@@ -105,24 +107,25 @@
 
     /// Handles the server's notice that it ends: resets its flows. Later packets go to the next
     /// candidate. `started` is the start of the server's process in Unix milliseconds, if the notice
-    /// tells it; a later process may have the same name.
+    /// tells it; a later process may have the same name. Returns whether the notice was applied.
     pub fn server_left(
         &mut self,
         server: &str,
         started: Option<u64>,
         now: Instant,
         out: &mut Vec<Output>,
-    ) {
+    ) -> bool {
         let other_process = started.is_some_and(|started| started != self.member.started);
         if server != self.member.server || other_process {
             out.push(log_event(
                 Topic::HeartbeatIgnored,
                 format!("server={server} reason=not_the_current_server"),
             ));
-            return;
+            return false;
         }
         self.end_server_flows(Reason::Left, now, out);
         self.set_state(State::Gone, "left", now, out);
+        true
     }
 
     /// Announces that the agent's process is about to stop, so that its server gets no new flows.
