Ask agents one by one while a lookup has no answer

Cause: a balancer that didn't know a flow sent each packet along all agents, one after the other, and an agent that was down ended its way. The order was reversed from copy to copy, which put the likeliest agent at the far end of 136. The client's copies were the only tries.

Ruled out: a wrong owner, resets, and the size alone.

Change: a lookup without an answer is repeated every 200 ms by packets to single agents, the likeliest first. The agent that is found then gets the packet once more. Answers for an earlier flow of the port don't count for the next.

--- a/src/steering/agent/delivery.rs
+++ b/src/steering/agent/delivery.rs
@@ -133,13 +133,16 @@
         out: &mut Vec<Output>,
     ) {
         if forward.candidates.is_empty() {
-            out.push(log_event(
-                Topic::Exhausted,
-                format!(
-                    "flow={} kind={} reason={reason}",
-                    segment.flow, segment.kind
-                ),
-            ));
+            // A part of a lookup says little, and there may be one for each agent.
+            if !forward.lookup || forward.complete {
+                out.push(log_event(
+                    Topic::Exhausted,
+                    format!(
+                        "flow={} kind={} reason={reason}",
+                        segment.flow, segment.kind
+                    ),
+                ));
+            }
             out.push(Output::Send(forward.origin, Message::Exhausted(forward)));
             return;
         }
--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -1,4 +1,10 @@
 //! Lookup of the agent that holds an open flow.
+//!
+//! A packet goes along the candidates one after the other, the likeliest first: most lookups end at
+//! one of the first. A candidate that doesn't run, or has just been stopped, ends the packet's way.
+//! Each lookup without an answer is therefore repeated by packets to single agents, so that no agent
+//! stands in another one's way: whichever agents are down, the flow's own agent gets a packet within
+//! [`PROBE_INTERVAL`] of its start, or a few of them if there are more than [`PROBES_MAX`] agents.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -8,6 +14,7 @@
 use crate::steering::log_event::{LogEvent, Reason, Topic};
 use crate::steering::message::{Forward, Message, Owner};
 use crate::steering::roster::LookupCandidates;
+use crate::steering::search::Answer;
 use crate::steering::segment::Segment;
 
 use super::{log_event, Balancer, Output, CANDIDATES_MAX};
@@ -22,6 +29,18 @@
 /// Packets that arrive within this time belong to one lookup: a client sends several at once, and
 /// retransmits the first after 200 ms at the earliest.
 const LOOKUP_WINDOW: Duration = Duration::from_millis(100);
+/// A lookup begins anew if the last one began longer ago: the client has sent no copy since.
+const LOOKUP_EXPIRY: Duration = Duration::from_secs(2);
+/// Interval between probes of a flow whose lookup has no answer yet, and minimum interval between
+/// probes of one agent.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after the client's last packet in which a lookup is repeated: the longest time between two
+/// copies of a packet.
+const PROBE_TIME_MAX: Duration = Duration::from_millis(1600);
+/// Maximum number of agents that are probed at once.
+const PROBES_MAX: usize = 64;
+/// The same for the first probes of a search: most often, a datagram to a likely agent was lost.
+const FIRST_PROBES_MAX: usize = 8;
 
 impl Balancer {
     /// Sends a packet of a flow whose agent isn't known to the first candidate, which forwards it
@@ -44,17 +63,31 @@
             .or_insert_with(|| BalancerFlow::new(likeliest, now));
         tracked.last_packet_at = now;
         tracked.search.expire(now);
+        let ended = |at| now.saturating_duration_since(at) > LOOKUP_EXPIRY;
+        let same_flow = tracked.search.follow(segment.acknowledgement);
+        if !same_flow || tracked.lookup_started.is_some_and(ended) {
+            tracked.lookups = 0;
+            tracked.lookup_started = None;
+        }
         let recent = |at| now.saturating_duration_since(at) < LOOKUP_WINDOW;
-        let new_lookup = !tracked.lookup_started.is_some_and(recent);
-        if new_lookup {
+        if !tracked.lookup_started.is_some_and(recent) {
             tracked.lookup_started = Some(now);
             tracked.lookups += 1;
         }
+        tracked.search.keep_packet(packet.clone());
+        if !std::mem::replace(&mut tracked.search_queued, true) {
+            self.searches.push_back((now + PROBE_INTERVAL, flow));
+        }
         let mut candidates = in_order(found, tracked);
+        let unanswered = candidates.iter().any(|agent| !tracked.search.denied(agent));
+        if tracked.lookups > 1 && unanswered {
+            self.probe(&flow, now, out);
+            return;
+        }
         if candidates.len() > CANDIDATES_MAX {
             candidates.sort_by_key(|candidate| tracked.search.denied(candidate));
         }
-        if new_lookup && tracked.lookups == 1 && tracked.tried_agents.is_empty() {
+        if tracked.lookups == 1 && tracked.tried_agents.is_empty() && !tracked.search.started() {
             out.push(log_event(
                 Topic::Lookup,
                 format!(
@@ -68,6 +101,81 @@
         self.ask(&flow, packet, candidates, complete, now, out);
     }
 
+    /// Probes agents for the flows whose lookups have had no answer for [`PROBE_INTERVAL`].
+    pub(super) fn repeat_searches(&mut self, now: Instant, out: &mut Vec<Output>) {
+        while self.searches.front().is_some_and(|(due, _)| *due <= now) {
+            let Some((_, flow)) = self.searches.pop_front() else {
+                return;
+            };
+            let owner = self.current_owner(&flow, now);
+            let Some(tracked) = self.flows.get_mut(&flow) else {
+                continue;
+            };
+            let waiting = now.saturating_duration_since(tracked.last_packet_at) <= PROBE_TIME_MAX;
+            if owner.is_none() && waiting && tracked.search.packet().is_some() {
+                self.searches.push_back((now + PROBE_INTERVAL, flow));
+                self.probe(&flow, now, out);
+                continue;
+            }
+            tracked.search_queued = false;
+            // Probes may have reached other agents after the owner. Its server gets the last copy.
+            if let Some((owner, packet)) = owner.zip(tracked.search.take_packet()) {
+                let forward = self.forward(&flow, packet, Vec::new());
+                out.push(Output::Send(owner.agent, Message::Forward(forward)));
+            }
+        }
+    }
+
+    /// Sends a flow's last packet to each agent alone that hasn't answered, those first that were not
+    /// probed yet or not for the longest time. The first probes go to the likeliest agents only.
+    fn probe(&mut self, flow: &Flow, now: Instant, out: &mut Vec<Output>) {
+        let found = self.lookup_candidates(flow, now);
+        let Some(tracked) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let Some(packet) = tracked.search.packet().cloned() else {
+            return;
+        };
+        tracked.search.expire(now);
+        let recent = |at| now.saturating_duration_since(at) < PROBE_INTERVAL;
+        // The timer and the client's copy of the packet fall together.
+        if tracked.search.last_probed().is_some_and(recent) {
+            return;
+        }
+        let limit = match tracked.search.probing() {
+            true => PROBES_MAX,
+            false => FIRST_PROBES_MAX,
+        };
+        // The flow's agent is the first of its group by rank, more often than not, but may have
+        // changed the group since the flow was opened.
+        let ranks = found.overdue.len().max(found.responsive.len());
+        let best =
+            (0..ranks).flat_map(|rank| [found.overdue.get(rank), found.responsive.get(rank)]);
+        let rest = found.lost.iter().chain(&found.ended);
+        let mut agents: Vec<_> = best.flatten().chain(rest).copied().collect();
+        agents.sort_by_key(|agent| tracked.likelihood(agent));
+        let search = &tracked.search;
+        agents.retain(|agent| !search.denied(agent));
+        agents.sort_by_key(|agent| search.probed_at(agent));
+        agents.truncate(limit);
+        if !agents.is_empty() && !tracked.search.probing() {
+            out.push(log_event(
+                Topic::Probed,
+                format!("flow={flow} first={} agents={}", agents[0], agents.len()),
+            ));
+        }
+        let parts: Vec<_> = agents
+            .into_iter()
+            .map(|agent| (agent, tracked.search.probe(agent, now)))
+            .collect();
+        for (agent, part) in parts {
+            let mut forward = self.forward(flow, packet.clone(), Vec::new());
+            forward.lookup = true;
+            forward.passes = part;
+            out.push(Output::Send(agent, Message::Forward(forward)));
+        }
+    }
+
     /// Sends a packet to as many of the candidates as fit into a datagram.
     fn ask(
         &mut self,
@@ -139,7 +247,7 @@
             .or_insert_with(|| BalancerFlow::new(owner.agent, now));
         tracked.lookups = 0;
         tracked.lookup_started = None;
-        tracked.search.clear();
+        tracked.search.finish();
         let first_report = !tracked.accepted;
         let holder = balancer_flow::Owner {
             agent: owner.agent,
@@ -211,12 +319,16 @@
             return;
         }
         tracked.search.expire(now);
-        if !tracked.search.exhaust(forward.passes) {
+        let Some(answer) = tracked.search.exhaust(forward.passes) else {
             return;
-        }
+        };
         let mut candidates = in_order(found, tracked);
         candidates.retain(|candidate| !tracked.search.denied(candidate));
         if !candidates.is_empty() {
+            // The others are probed beside this one.
+            if answer == Answer::Probe {
+                return;
+            }
             let complete = candidates.len() <= CANDIDATES_MAX;
             self.ask(
                 &flow,
@@ -253,18 +365,8 @@
 /// Returns the candidates in the order in which a lookup asks them. Agents that got the opening
 /// packet come first.
 fn in_order(mut found: LookupCandidates, tracked: &BalancerFlow) -> Vec<SocketAddr> {
-    let attempt = tracked.lookups.saturating_sub(1);
-    let (tried_agents, likely) = (&tracked.tried_agents, tracked.likely_agent);
     for candidates in found.groups() {
-        candidates
-            .sort_by_key(|candidate| (*candidate != likely, !tried_agents.contains(candidate)));
-        // An unreachable candidate would stop every lookup at the same place, so repeated lookups
-        // vary the order.
-        let skip = attempt as usize / 2 % candidates.len().max(1);
-        candidates.rotate_left(skip);
-        if attempt % 2 == 1 {
-            candidates.reverse();
-        }
+        candidates.sort_by_key(|candidate| tracked.likelihood(candidate));
     }
     found
         .groups()
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -82,6 +82,9 @@
     flows: HashMap<Flow, BalancerFlow>,
     /// Ordered by `due`, because all of them wait for the same delay.
     placements: VecDeque<PendingPlacement>,
+    /// Flows whose lookups have no answer yet, each once, and when to ask again. Ordered by time,
+    /// because all of them wait for the same interval.
+    searches: VecDeque<(Instant, Flow)>,
     peers: BTreeMap<SocketAddr, Instant>,
     /// Agents that peers hear although they aren't in the roster or have left by it, and when a
     /// digest last named them. Their servers may hold flows that other balancers have placed.
@@ -120,6 +123,7 @@
             roster: Roster::default(),
             flows: HashMap::new(),
             placements: VecDeque::new(),
+            searches: VecDeque::new(),
             peers: BTreeMap::new(),
             named_agents: BTreeMap::new(),
             digest_received: false,
@@ -249,8 +253,8 @@
         }
     }
 
-    /// Runs everything that is due: hedges placements, checks for outliers, sends digests and
-    /// expires.
+    /// Runs everything that is due: hedges placements, repeats lookups, checks for outliers, sends
+    /// digests and expires.
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
         let pause = now.saturating_duration_since(self.last_tick);
         if pause > PAUSE_MIN {
@@ -271,6 +275,7 @@
             self.digest_senders.clear();
         }
         self.hedge(now, out);
+        self.repeat_searches(now, out);
         if now >= self.outlier_check_due {
             self.outlier_check_due = now + OUTLIER_CHECK_INTERVAL;
             self.check_outliers(out);
--- a/src/steering/balancer_flow.rs
+++ b/src/steering/balancer_flow.rs
@@ -78,6 +78,8 @@
     pub lookup_started: Option<Instant>,
     /// Answers to the lookups since the last report of an owner.
     pub search: Search,
+    /// Whether the flow is in the queue of lookups that are repeated.
+    pub search_queued: bool,
     /// Whether the client has ended the flow, so that it sends no further requests on it.
     pub finished: bool,
     /// When the last packet of the flow arrived.
@@ -100,11 +102,19 @@
             lookups: 0,
             lookup_started: None,
             search: Search::default(),
+            search_queued: false,
             finished: false,
             last_packet_at: now,
         }
     }
 
+    /// Key that sorts agents by how likely they hold the flow, the likeliest first: those that got
+    /// the opening packet come before the others.
+    pub fn likelihood(&self, agent: &SocketAddr) -> (bool, bool) {
+        let likely = *agent == self.likely_agent;
+        (!likely, !self.tried_agents.contains(agent))
+    }
+
     /// Records that the client opens the flow. Its port may have been that of an earlier flow, so an
     /// owner is forgotten and the packet goes to any agent. As the packet may also be a late copy on
     /// an open flow, `accepted` stays, which prevents a refusal and hedging, and so does
--- a/src/steering/log_event.rs
+++ b/src/steering/log_event.rs
@@ -49,6 +49,8 @@
     Exhausted,
     /// A balancer began to look up the agent that holds a flow.
     Lookup,
+    /// A balancer began to ask agents for a flow one by one, as its lookup has no answer yet.
+    Probed,
     /// A reset was sent to the client of a flow.
     Reset,
     /// A packet was dropped.
@@ -85,6 +87,7 @@
                 | Topic::Passed
                 | Topic::Exhausted
                 | Topic::Lookup
+                | Topic::Probed
                 | Topic::Reset
                 | Topic::Dropped
         )
