Keep an agent that stops from becoming ready again

Cause: the server's next heartbeat made the agent ready, whether or not it had been told to stop.

Change: the agent knows that it stops.

Evidence: stop_not_undone fails without the change.

--- a/src/steering/agent/mod.rs
+++ b/src/steering/agent/mod.rs
@@ -118,6 +118,8 @@
 pub struct Agent {
     /// Its service is always that of the agent's server.
     member: Member,
+    /// Whether the agent is about to stop. Its server gets no new flows from then on.
+    stopping: bool,
     /// Address of the server. Heartbeats from elsewhere are another writer's.
     server_address: SocketAddr,
     /// Sequence number of the last heartbeat of the server's process.
@@ -175,6 +177,7 @@
                 state: State::Waiting,
                 slots: Slots(1),
             },
+            stopping: false,
             server_address: server.address,
             server_sequence: 0,
             last_heartbeat: None,
--- a/src/steering/agent/server.rs
+++ b/src/steering/agent/server.rs
@@ -68,7 +68,10 @@
         member.server = heartbeat.server;
         member.started = heartbeat.started;
         member.slots = heartbeat.slots;
-        member.state = heartbeat.state;
+        member.state = match heartbeat.state {
+            State::Ready if self.stopping => State::Waiting,
+            state => state,
+        };
         self.confirm_flows(&member, out);
         self.update(member, "heartbeat", now, out);
         self.resolve_previous_snapshot(now, out);
@@ -130,6 +133,7 @@
 
     /// Announces that the agent's process is about to stop, so that its server gets no new flows.
     pub fn stop(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.stopping = true;
         if self.member.state == State::Ready {
             self.set_state(State::Waiting, "stopping", now, out);
         }
--- a/tests/steering/main.rs
+++ b/tests/steering/main.rs
@@ -12,6 +12,7 @@
 mod probes;
 mod renewed;
 mod resets;
+mod stopping;
 mod store_era;
 mod used_ports;
 mod watch_slots;
