Keep the last copy for the owner when it reports itself twice

The second report of an agent within 200 ms dropped the packet that its server gets after the probes.

Change: a search that has ended isn't ended again.

Evidence: owner_gets_last, with two reports.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -31,8 +31,7 @@
 const LOOKUP_WINDOW: Duration = Duration::from_millis(100);
 /// A lookup begins anew if the last one began longer ago: the client has sent no copy since.
 const LOOKUP_EXPIRY: Duration = Duration::from_secs(2);
-/// Interval between probes of a flow whose lookup has no answer yet, and minimum interval between
-/// probes of one agent.
+/// Interval between probes for a flow whose lookup has no answer yet.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after the client's last packet in which a lookup is repeated: the longest time between two
 /// copies of a packet.
--- a/src/steering/balancer/membership.rs
+++ b/src/steering/balancer/membership.rs
@@ -13,7 +13,6 @@
 use crate::steering::roster::{
     reachable, Entry, InvalidField, Member, Process, State, OVERDUE_AFTER, SUSPECT_AFTER,
 };
-
 use crate::steering::watch::Slot;
 
 use super::evidence::Change;
--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -64,6 +64,9 @@
 
     /// Ends the search, as the agent is known. The packet is kept if any agent was probed.
     pub fn finish(&mut self) {
+        if !self.started() {
+            return;
+        }
         let packet = self.packet.take().filter(|_| self.probing());
         self.clear();
         self.packet = packet;
--- a/tests/steering/probes.rs
+++ b/tests/steering/probes.rs
@@ -271,7 +271,10 @@
         process: None,
         accepted: None,
     });
-    balancer.message(agent_addr(2), owner, |_| None, probed, &mut out);
+    // Reported twice, as the server answers twice.
+    for _ in 0..2 {
+        balancer.message(agent_addr(2), owner.clone(), |_| None, probed, &mut out);
+    }
     out.clear();
     for millis in (200..1000).step_by(20) {
         balancer.tick(now + Duration::from_millis(millis), &mut out);
