Limit the probes of all flows together

Cause: all flows are looked up at once then, and each lookup without an answer sent up to 64 probes every 200 ms.

Change: a balancer sends 16 probes a tick for all flows together and saves up 128 for a few. While none is left, a client's copy goes along the agents as its first packet did.

--- a/src/steering/balancer/lookup.rs
+++ b/src/steering/balancer/lookup.rs
@@ -40,6 +40,11 @@
 const PROBES_MAX: usize = 64;
 /// The same for the first probes of a search: most often, a datagram to a likely agent was lost.
 const FIRST_PROBES_MAX: usize = 8;
+/// Number of probes for all flows that each tick allows. After a loss of power all flows are looked up
+/// at once, and probes for each of them would hold up all other packets.
+const TICK_PROBES: usize = 16;
+/// Number of probes that may be saved up for a few flows.
+pub(super) const SAVED_PROBES_MAX: usize = 2 * PROBES_MAX;
 
 impl Balancer {
     /// Sends a packet of a flow whose agent isn't known to the first candidate, which forwards it
@@ -79,7 +84,7 @@
         }
         let mut candidates = in_order(found, tracked);
         let unanswered = candidates.iter().any(|agent| !tracked.search.denied(agent));
-        if tracked.lookups > 1 && unanswered {
+        if tracked.lookups > 1 && unanswered && self.probes_left > 0 {
             self.probe(&flow, now, out);
             return;
         }
@@ -102,7 +107,9 @@
 
     /// Probes agents for the flows whose lookups have had no answer for [`PROBE_INTERVAL`].
     pub(super) fn repeat_searches(&mut self, now: Instant, out: &mut Vec<Output>) {
-        while self.searches.front().is_some_and(|(due, _)| *due <= now) {
+        self.probes_left = SAVED_PROBES_MAX.min(self.probes_left + TICK_PROBES);
+        let due = |(due, _): &(Instant, Flow)| *due <= now;
+        while self.probes_left > 0 && self.searches.front().is_some_and(due) {
             let Some((_, flow)) = self.searches.pop_front() else {
                 return;
             };
@@ -156,7 +163,8 @@
         let search = &tracked.search;
         agents.retain(|agent| !search.denied(agent));
         agents.sort_by_key(|agent| search.probed_at(agent));
-        agents.truncate(limit);
+        agents.truncate(limit.min(self.probes_left));
+        self.probes_left -= agents.len();
         if !agents.is_empty() && !tracked.search.probing() {
             out.push(log_event(
                 Topic::Probed,
--- a/src/steering/balancer/mod.rs
+++ b/src/steering/balancer/mod.rs
@@ -85,6 +85,8 @@
     /// Flows whose lookups have no answer yet, each once, and when to ask again. Ordered by time,
     /// because all of them wait for the same interval.
     searches: VecDeque<(Instant, Flow)>,
+    /// Number of probes that may be sent now.
+    probes_left: usize,
     peers: BTreeMap<SocketAddr, Instant>,
     /// Agents that peers hear although they aren't in the roster or have left by it, and when a
     /// digest last named them. Their servers may hold flows that other balancers have placed.
@@ -124,6 +126,7 @@
             flows: HashMap::new(),
             placements: VecDeque::new(),
             searches: VecDeque::new(),
+            probes_left: lookup::SAVED_PROBES_MAX,
             peers: BTreeMap::new(),
             named_agents: BTreeMap::new(),
             digest_received: false,
